--- /dev/null
+++ b/stonetrack/api.py
@@ -0,0 +1,359 @@
+"""The interface of stonetrack: settings in, events in, actions out.
+
+Times and durations are whole nanoseconds.  A caller builds ``Settings``, makes one
+``Router`` (see :mod:`stonetrack.logic`) and feeds it events; each call returns the actions to
+carry out, in order.  Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Role(Enum):
+    """What a kind of server does: read prompts, write answers, or both."""
+
+    READER = "reader"
+    WRITER = "writer"
+    MIXED = "mixed"
+
+
+class Effect(Enum):
+    """What repeating a request may do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """The servers that discard repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class ServerState(Enum):
+    """A server's state in the list."""
+
+    UP = "up"
+    DRAINING = "draining"
+    REMOVED = "removed"
+
+
+class ListKind(Enum):
+    """How a server list is to be taken."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    SAVED = "saved"
+    FAILED = "failed"
+
+
+class Outcome(Enum):
+    """How an attempt, or a probe, ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+    READ = "read"
+
+
+class ReportSource(Enum):
+    """Where load reports come from."""
+
+    ANSWERS = "answers"
+    PROBES = "probes"
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of requests."""
+
+    name: str
+    first_token_aim: int
+    aim_per_1000_tokens: int
+    token_aim: int
+    deadline: int
+    worth: float = 1.0
+    late_worth: float = 0.0
+    effect: Effect = Effect.SAFE
+    scope: Scope = Scope.ALL
+    key_window: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One tenant and the rate that falls within its share, over all routers."""
+
+    name: str
+    quota_per_second: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of server; memory in tokens, 0 where it is not told."""
+
+    role: Role
+    memory_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a router is told when it starts."""
+
+    classes: tuple[RequestClass, ...]
+    kinds: tuple[Kind, ...]
+    tenants: tuple[Tenant, ...] = ()
+    router: int = 0
+    routers: int = 1
+    zone: int = 0
+    max_attempts: int = 4
+    may_cancel: bool = False
+    may_probe: bool = False
+    may_hold_place: bool = False
+    may_move: bool = False
+    may_advise_retry: bool = False
+    max_retry_after: int = 0
+    writers_read: bool = False
+    report_source: ReportSource = ReportSource.NONE
+    list_on_request: bool = False
+    connect_timeout: int = 250_000_000
+    answer_slack: int = 0
+    release_within: int = 500_000_000
+    cold_share: float = 0.25
+    warm_within: int = 12_000_000_000
+    cold_multiple: float = 3.0
+    cold_window: int = 3_000_000_000
+    over_share_worth: float = 1.0
+    worth_by_work: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One line of a server list; ``started`` is 0 for long ago."""
+
+    server: str
+    zone: int
+    kind: int
+    cell: int
+    state: ServerState
+    weight: float = 1.0
+    started: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A server's own report; a value is None where it was not given."""
+
+    in_flight: float | None = None
+    queued: float | None = None
+    memory_share: float | None = None
+    waiting_tokens: float | None = None
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """The server list, or changes to it."""
+
+    kind: ListKind
+    version: int = 0
+    entries: tuple[ServerEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A request has landed here and is owed one final answer within ``time_left``."""
+
+    request: str
+    class_index: int
+    session: str
+    time_left: int
+    prompt_tokens: int
+    shared_beginning: str | None = None
+    shared_tokens: int = 0
+    max_answer_tokens: int = 0
+    tenant: int = 0
+    resumed: bool = False
+    repeated: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class FirstToken:
+    """An attempt's answer has begun; the attempt now belongs to the client."""
+
+    request: str
+    attempt: int
+    server: str
+    elapsed: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlaceAnswer:
+    """A writer's answer to a place asked ahead."""
+
+    request: str
+    attempt: int
+    server: str
+    held: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt's one outcome."""
+
+    request: str
+    attempt: int
+    server: str
+    outcome: Outcome
+    elapsed: int
+    finished: bool = False
+    kept_tokens: int = 0
+    state_missing: bool = False
+    report: LoadReport | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RequestGone:
+    """The client has left; nothing more is owed."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer set earlier."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeEnded:
+    """The result of a probe."""
+
+    server: str
+    outcome: Outcome
+    elapsed: int
+    report: LoadReport | None = None
+
+
+Event = (
+    ServerList
+    | RequestArrived
+    | FirstToken
+    | PlaceAnswer
+    | AttemptEnded
+    | RequestGone
+    | TimerFired
+    | ProbeEnded
+)
+
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send the request to a server; ``time_limit`` 0 means until the client gives up."""
+
+    request: str
+    server: str
+    time_limit: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HoldPlace:
+    """Ask a writer to hold a place for a request that is being read."""
+
+    request: str
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Let go of every state and place held for the request."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: not taken, a retry is harmless."""
+
+    request: str
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed, nothing is promised."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """End a running stream in good order, so that its client resumes it elsewhere."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a server for its report."""
+
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for ``TimerFired`` after ``delay``."""
+
+    token: int
+    delay: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for changes of the server list as they happen."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """One line for the operators."""
+
+    text: str
+
+
+Action = (
+    Send
+    | HoldPlace
+    | Release
+    | Refuse
+    | Fail
+    | Cancel
+    | Move
+    | Probe
+    | SetTimer
+    | Subscribe
+    | Log
+)
--- /dev/null
+++ b/tests/bed.py
@@ -0,0 +1,95 @@
+"""A hand-fed router for tests: short makers of settings and events, and a log of actions."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TypeVar
+
+from stonetrack import api
+from stonetrack.logic import MS, SECOND, Router
+
+A = TypeVar("A")
+
+CLASS = api.RequestClass("chat", 2 * SECOND, 40 * MS, 80 * MS, 10 * SECOND)
+SETTINGS = api.Settings(
+    classes=(CLASS,),
+    kinds=(api.Kind(api.Role.READER, 200_000), api.Kind(api.Role.WRITER, 150_000), api.Kind(api.Role.MIXED)),
+    routers=2,
+    max_attempts=5,
+    may_cancel=True,
+)
+READER, WRITER, MIXED = 0, 1, 2
+
+
+def entry(name: str, kind: int, cell: int = 0, **more: object) -> api.ServerEntry:
+    base = api.ServerEntry(name, zone=0, kind=kind, cell=cell, state=api.ServerState.UP)
+    return replace(base, **more)  # type: ignore[arg-type]
+
+
+FLEET = (
+    *(entry(f"r{n}", READER, cell=n % 2) for n in range(4)),
+    *(entry(f"w{n}", WRITER, cell=n % 2) for n in range(4)),
+)
+
+
+class Bed:
+    """A router, its clock, and every action so far."""
+
+    def __init__(self, settings: api.Settings = SETTINGS,
+                 fleet: tuple[api.ServerEntry, ...] = FLEET, now: int = 100 * SECOND) -> None:
+        self.router = Router(settings, seed=1)
+        self.now = now
+        self.actions: list[api.Action] = []
+        self.tries: dict[str, int] = {}
+        self.give(api.ServerList(api.ListKind.SAVED, 1, fleet))
+
+    def give(self, event: api.Event) -> list[api.Action]:
+        got = self.router.handle(self.now, event)
+        self.actions += got
+        return got
+
+    def wait(self, time: int) -> list[api.Action]:
+        """Let time pass in sweeps; the actions meanwhile."""
+        got: list[api.Action] = []
+        end = self.now + time
+        while self.now < end:
+            self.now = min(self.now + 50 * MS, end)
+            got += self.give(api.TimerFired(0))
+        return got
+
+    def ask(self, name: str, session: str = "", beginning: str | None = None, shared: int = 0,
+            prompt: int = 1600, left: int = 10 * SECOND, **more: int) -> list[api.Action]:
+        self.tries[name] = -1
+        return self.give(api.RequestArrived(name, more.get("class_index", 0), session or "s-" + name, left,
+                                            prompt, beginning, shared, 200, more.get("tenant", 0)))
+
+    def end(self, send: api.Send, outcome: api.Outcome, attempt: int, elapsed: int = 100 * MS,
+            **more: object) -> list[api.Action]:
+        self.now += elapsed
+        base = api.AttemptEnded(send.request, attempt, send.server, outcome, elapsed)
+        return self.give(replace(base, **more))  # type: ignore[arg-type]
+
+    def read(self, send: api.Send, attempt: int = 0, kept: int = 0, elapsed: int = 100 * MS) -> api.Send:
+        """The read succeeds; the send to the writer that follows."""
+        return only(self.end(send, api.Outcome.READ, attempt, elapsed, kept_tokens=kept), api.Send)
+
+    def serve(self, send: api.Send, attempt: int = 1) -> None:
+        """The answer begins and ends."""
+        self.give(api.FirstToken(send.request, attempt, send.server, 50 * MS))
+        self.end(send, api.Outcome.SERVED, attempt, 100 * MS, finished=True)
+
+    def whole(self, name: str, **more: int) -> str:
+        """One request from arrival to its end; the reader that read it."""
+        send = only(self.ask(name, **more), api.Send)  # type: ignore[arg-type]
+        self.serve(self.read(send))
+        return send.server
+
+
+def of(actions: list[api.Action], kind: type[A]) -> list[A]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def only(actions: list[api.Action], kind: type[A]) -> A:
+    found = of(actions, kind)
+    assert len(found) == 1, f"{len(found)} of {kind.__name__} in {actions}"
+    return found[0]
