--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -30,7 +30,7 @@
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
-LIMIT_AIM_SHARE = 0.4  # an attempt is given at least this share of the aim
+QUIET_LEAST = 400 * MS  # a server's silence below this says nothing
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
 # Ours: health.
@@ -158,6 +158,7 @@
     attempts: int = 0
     server: str = ""  # where the attempt out is
     sent: int = 0
+    cancelled: bool = False
     writing: bool = False  # the attempt out may answer, so it counts as a stream there
     work: float = 0.0  # tokens it has to read there
     credit: int = 0  # tokens a proven entry promised at the send
@@ -396,7 +397,7 @@
         if not server.waiting:
             return False
         oldest = min(server.waiting.values())
-        patience = max(self.latency[server.role].high(), 300.0 * MS)
+        patience = max(self.latency[server.role].high(), float(QUIET_LEAST))
         return server.good_at < oldest and self.now - oldest > patience
 
     def _cold_room(self, server: Server) -> bool:
@@ -448,14 +449,18 @@
 
     def _strike(self, server: Server, outcome: Outcome) -> None:
         unreachable = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
-        silent = outcome is Outcome.TIMED_OUT and self._silent(server)
         server.strikes += 1.0
-        if unreachable or silent or server.trials or server.strikes >= STRIKES_OUT:
-            if unreachable or silent:
-                server.lost = True
-                self._lost_all(server)
+        if unreachable:
+            self._lose(server, outcome.value)
+        elif server.trials or server.strikes >= STRIKES_OUT:
             self._eject(server, outcome.value)
 
+    def _lose(self, server: Server, reason: str) -> None:
+        """The server can't be reached: it will most likely come back cold and empty."""
+        server.lost = True
+        self._lost_all(server)
+        self._eject(server, reason)
+
     def _eject(self, server: Server, reason: str) -> None:
         """Leave a server out for a while, then try it with single requests; never half a role."""
         peers = [s for s in self.servers.values() if s.role is server.role and s.state is ServerState.UP]
@@ -565,11 +570,9 @@
 
     def _send(self, request: Request, server: Server, phase: Phase) -> None:
         self.held.pop(request.name, None)
-        last = request.attempts + (2 if phase is Phase.READING else 1) >= self.settings.max_attempts
-        limit = max(self.latency[server.role].high(), LIMIT_AIM_SHARE * request.aim())
-        time_limit = request.deadline - self.now if last else min(int(limit), request.deadline - self.now)
+        time_limit = request.deadline - self.now
         request.phase, request.server, request.sent = phase, server.name, self.now
-        request.writing = phase is Phase.WRITING
+        request.writing, request.cancelled = phase is Phase.WRITING, False
         server.waiting[request.name] = self.now
         server.sends_since += 1
         request.work = 0.0
@@ -587,7 +590,9 @@
             server.streams += 1
         if server.cold_until > self.now:
             server.cold_sends.append(self.now)
-        self.actions.append(api.Send(request.name, server.name, max(time_limit, 1)))
+        # No time-out of its own: a busy server answers in turn, and work called off is done twice.
+        # Attempts are called off where the server falls silent (_sweep).
+        self.actions.append(api.Send(request.name, server.name, time_limit))
 
     def _first_token(self, event: api.FirstToken) -> None:
         request = self.requests.get(event.request)
@@ -656,8 +661,6 @@
         elif outcome is Outcome.FULL and not event.state_missing:
             server.full_until = self.now + FULL_PAUSE
         elif outcome in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CONNECT_FAILED):
-            if outcome is Outcome.TIMED_OUT:
-                self.latency[server.role].add(float(event.elapsed))
             self._strike(server, outcome)
 
     def _gone(self, event: api.RequestGone) -> None:
@@ -714,11 +717,24 @@
 
     # The sweep.
 
+    def _call_off(self, server: Server) -> None:
+        """A silent server (hung, cut off, dead): leave it out and take back what it has not begun."""
+        self._lose(server, "silent")
+        for name, sent in server.waiting.items():
+            request = self.requests[name]
+            if sent > server.good_at and request.phase is not Phase.ENDED and not request.cancelled and (
+                    self.settings.may_cancel and request.attempts + 2 < self.settings.max_attempts):
+                request.cancelled = True
+                self.actions.append(api.Cancel(name, request.attempts))
+
     def _sweep(self) -> None:
         self.actions.append(api.SetTimer(0, SWEEP))
         if self.subscribe_at and self.subscribe_at <= self.now and self.settings.list_on_request:
             self.subscribe_at = 0
             self.actions.append(api.Subscribe())
+        for server in self.servers.values():
+            if self._silent(server):
+                self._call_off(server)
         for name in list(self.held):
             request = self.requests.get(name)
             if request is not None and name in self.held:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -63,7 +63,8 @@
         + batch(3, "RESULT\tnode=0\tcall=00000000000000aa\ttry=0\tengine=engine-r\thow=half_done"
                 "\tnote=0\ttime_taken_ns=9\thealth_info=inflight:1,queue:0,x0:0.5,x1:1.5")
         + batch(4, "ACK_FIRST\tnode=0\tcall=00000000000000aa\ttry=1\tengine=engine-w\ttime_taken_ns=9")
-        + batch(5, "RESULT\tnode=0\tcall=00000000000000aa\ttry=1\tengine=engine-w\thow=delivered\tdone_flag=1"))
+        + batch(5, "RESULT\tnode=0\tcall=00000000000000aa\ttry=1\tengine=engine-w\thow=delivered"
+                "\tdone_flag=1"))
     sends = [line.split("\t")[3] for line in lines if line.startswith("PLACE\t")]
     assert sends == ["engine=engine-r", "engine=engine-w"]
     assert not [line for line in lines if line.startswith(("BOUNCE", "ABORT", "BROKEN"))]
