--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -30,7 +30,7 @@
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
-QUIET_LEAST = 400 * MS  # a server's silence below this says nothing
+QUIET_LEAST = 1 * SECOND  # a server's silence below this says nothing
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
 # Ours: health.
@@ -38,6 +38,7 @@
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
 TRIALS = 3  # good outcomes, one at a time, that end an ejection
 SLOW_RATIO = 2.5  # smoothed latency over the role's that counts as slow
+SLOW_AIM_SHARE = 0.1  # a latency below this share of the aim harms nobody and is not slow
 FULL_PAUSE = 300 * MS
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
 SMOOTH = 0.2  # weight of a new sample in running means
@@ -161,6 +162,7 @@
     cancelled: bool = False
     writing: bool = False  # the attempt out may answer, so it counts as a stream there
     work: float = 0.0  # tokens it has to read there
+    queue: float = 1.0  # those, and those of this router's attempts before it
     credit: int = 0  # tokens a proven entry promised at the send
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
@@ -397,7 +399,7 @@
         if not server.waiting:
             return False
         oldest = min(server.waiting.values())
-        patience = max(self.latency[server.role].high(), float(QUIET_LEAST))
+        patience = max(self.latency[server.role].high() * (server.work_out + 1.0), float(QUIET_LEAST))
         return server.good_at < oldest and self.now - oldest > patience
 
     def _cold_room(self, server: Server) -> bool:
@@ -425,12 +427,15 @@
         self.carried[role] = [count + more, float(self.now)]
         return count + more
 
-    def _good(self, server: Server, elapsed: int) -> None:
+    def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
         if stat.count >= 10:
-            ratio = min(elapsed / max(stat.mean, 1.0), 10.0)
+            # Reads are judged by the time for each token that stood before them and in them.
+            ratio = min(elapsed / request.queue / max(stat.mean, 1e-9), 10.0)
+            if elapsed < SLOW_AIM_SHARE * request.aim():
+                ratio = min(ratio, 1.0)
             server.latency += SMOOTH * (ratio - server.latency)
-        stat.add(float(elapsed))
+        stat.add(elapsed / request.queue)
         server.good_at = self.now
         server.strikes /= 2
         if server.cold_until <= self.now:
@@ -462,10 +467,10 @@
         self._eject(server, reason)
 
     def _eject(self, server: Server, reason: str) -> None:
-        """Leave a server out for a while, then try it with single requests; never half a role."""
+        """Leave a server out for a while, then try it with single requests; a third of a role at most."""
         peers = [s for s in self.servers.values() if s.role is server.role and s.state is ServerState.UP]
         out = sum(1 for s in peers if s.ejected_until > self.now)
-        if server.ejected_until > self.now or out + 1 > len(peers) // 2:
+        if server.ejected_until > self.now or out + 1 > max(len(peers) // 3, min(1, len(peers) - 1)):
             return
         server.ejected_until = self.now + server.span
         server.span = min(server.span * 2, EJECT_MOST)
@@ -585,6 +590,7 @@
                 server.table.learn(key, tokens, self.now)
             server.work_out += request.work
             server.work_since += request.work
+        request.queue = server.work_out + 1.0
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
@@ -600,7 +606,7 @@
         if request is None or request.attempts != event.attempt or server is None:
             return
         server.waiting.pop(request.name, None)
-        self._good(server, event.elapsed)
+        self._good(server, request, event.elapsed)
         if request.phase is not Phase.ENDED:
             request.phase = Phase.STREAMING
         request.holds = False
@@ -647,7 +653,7 @@
             server.streams -= 1
         outcome = event.outcome
         if outcome is Outcome.READ:
-            self._good(server, event.elapsed)
+            self._good(server, request, event.elapsed)
             # Exception (voided prefixes): a read that found far less than a proven entry promised
             # shows that the reader forgot; what was sent before this read goes from its table.
             if request.credit >= 4 * BLOCK and event.kept_tokens < request.credit // 2:
