--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -24,7 +24,7 @@
 BLOCK = 16  # tokens
 TABLE_BLOCKS = 31_250  # most blocks kept for one server
 LEAVE_FACTOR, LEAVE_STREAMS = 1.3, 2.0  # a cell's best stands "well above" mean * factor + streams
-REPORT_AGE = 2 * SECOND  # an older load report is no longer heard
+REPORT_AGE = 5 * SECOND  # an older load report is no longer heard
 
 # Ours: timing.
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
@@ -124,8 +124,8 @@
     state: ServerState = ServerState.UP
     report: api.LoadReport | None = None
     report_at: int = 0
-    sends_since: int = 0  # own sends since the report
-    work_since: float = 0.0  # and their tokens to read
+    streams_then: int = 0  # own streams when the report came
+    work_then: float = 0.0  # own tokens to read when the report came
     waiting: dict[str, int] = field(default_factory=dict)  # own attempts not yet begun: sent when
     work_out: float = 0.0  # tokens to read in own attempts out
     states: int = 0  # own read states that wait here
@@ -287,15 +287,16 @@
         return server.report if fresh else None
 
     def _read_load(self, server: Server) -> float | None:
-        """Tokens to be read there: reported and sent since, else own sends out; None if unheard."""
+        """Tokens to be read there: reported and own change since; own sends out where none report."""
+        if self.settings.report_source is api.ReportSource.NONE:
+            return server.work_out
         report = self._report(server)
-        if report is not None and report.waiting_tokens is not None:
-            return report.waiting_tokens + server.work_since
-        if report is not None and report.in_flight is not None:
-            return report.in_flight * self.prompt_work.mean + server.work_since
-        if self.settings.report_source is api.ReportSource.ANSWERS:
+        if report is None or (report.waiting_tokens is None and report.in_flight is None):
             return None
-        return server.work_out
+        reported = report.waiting_tokens
+        if reported is None:
+            reported = (report.in_flight or 0.0) * self.prompt_work.mean
+        return max(server.work_out, reported + server.work_out - server.work_then)
 
     def _scores(self, request: Request, servers: list[Server]) -> dict[str, float]:
         """Weighted sum of the three scores for each server."""
@@ -355,7 +356,9 @@
 
         def load(server: Server) -> tuple[float, int]:
             streams = heard[server.name]
-            return (mean if streams is None else streams, -self._tie(server, request))
+            if streams is None:
+                streams = mean if known else server.streams / server.weight
+            return (streams, -self._tie(server, request))
 
         best = min(servers, key=load)
         near = [s for s in servers if s.cell == cell]
@@ -366,13 +369,13 @@
         return best
 
     def _streams(self, server: Server) -> float | None:
-        """Streams at a writer: reported and sent since, else our own; None if unheard."""
+        """Streams at a writer: reported and own change since; our own where none report."""
+        if self.settings.report_source is api.ReportSource.NONE:
+            return server.streams / server.weight
         report = self._report(server)
-        if report is not None and report.in_flight is not None:
-            return (report.in_flight + server.sends_since) / server.weight
-        if self.settings.report_source is api.ReportSource.ANSWERS:
+        if report is None or report.in_flight is None:
             return None
-        return server.streams / server.weight
+        return max(server.streams, report.in_flight + server.streams - server.streams_then) / server.weight
 
     def _tie(self, server: Server, request: Request) -> int:
         return crc32(f"{self.settings.router}/{request.session or request.name}/{server.name}".encode())
@@ -490,7 +493,7 @@
     def _take_report(self, server: Server, report: api.LoadReport | None) -> None:
         if report is not None:
             server.report, server.report_at = report, self.now
-            server.sends_since, server.work_since = 0, 0.0
+            server.streams_then, server.work_then = server.streams, server.work_out
 
     # A request's life.
 
@@ -579,7 +582,6 @@
         request.phase, request.server, request.sent = phase, server.name, self.now
         request.writing, request.cancelled = phase is Phase.WRITING, False
         server.waiting[request.name] = self.now
-        server.sends_since += 1
         request.work = 0.0
         if phase is Phase.READING or not request.reader:
             covered = self._covered(server, request)
@@ -589,7 +591,6 @@
             for key, tokens in request_keys(request):
                 server.table.learn(key, tokens, self.now)
             server.work_out += request.work
-            server.work_since += request.work
         request.queue = server.work_out + 1.0
         if phase is Phase.WRITING:
             self._drop_place(request)
