--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -37,7 +37,7 @@
 STRIKES_OUT = 1.6  # strikes that eject; a success halves them
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
 TRIALS = 3  # good outcomes, one at a time, that end an ejection
-SLOW_RATIO = 2.5  # smoothed latency over the role's that counts as slow
+SLOW_RATIO, SLOW_RUN = 2.0, 6  # so many outcomes in a row, each so far over the role's mean, are slow
 SLOW_AIM_SHARE = 0.1  # a latency below this share of the aim harms nobody and is not slow
 FULL_PAUSE = 300 * MS
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
@@ -136,7 +136,7 @@
     trials: int = 0  # good outcomes still wanted before the server counts as sound
     lost: bool = False  # it could not be reached: it may come back cold and empty
     good_at: int = 0
-    latency: float = 1.0  # smoothed, over the role's mean
+    slow_run: int = 0  # slow outcomes in a row
     full_until: int = 0
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
@@ -432,12 +432,11 @@
 
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
-        if stat.count >= 10:
-            # Reads are judged by the time for each token that stood before them and in them.
-            ratio = min(elapsed / request.queue / max(stat.mean, 1e-9), 10.0)
-            if elapsed < SLOW_AIM_SHARE * request.aim():
-                ratio = min(ratio, 1.0)
-            server.latency += SMOOTH * (ratio - server.latency)
+        # Reads are judged by the time for each token that stood before them and in them.  A busy
+        # server still answers something quickly now and then; a slow one never does.
+        slow = (stat.count >= 10 and elapsed / request.queue > SLOW_RATIO * stat.mean
+                and elapsed > SLOW_AIM_SHARE * request.aim())
+        server.slow_run = server.slow_run + 1 if slow else 0
         stat.add(elapsed / request.queue)
         server.good_at = self.now
         server.strikes /= 2
@@ -451,8 +450,8 @@
             server.trials -= 1
             if not server.trials:
                 server.span = EJECT_FIRST
-        if server.latency > SLOW_RATIO and server.cold_until <= self.now:
-            server.latency = 1.0
+        if server.slow_run >= SLOW_RUN and server.cold_until <= self.now:
+            server.slow_run = 0
             self._eject(server, "slow")
 
     def _strike(self, server: Server, outcome: Outcome) -> None:
@@ -667,7 +666,7 @@
             server.good_at = self.now
         elif outcome is Outcome.FULL and not event.state_missing:
             server.full_until = self.now + FULL_PAUSE
-        elif outcome in (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CONNECT_FAILED):
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             self._strike(server, outcome)
 
     def _gone(self, event: api.RequestGone) -> None:
