--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -33,6 +33,8 @@
 QUIET_LEAST = 1 * SECOND  # a server's silence below this says nothing
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
+ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
+
 # Ours: health.
 STRIKES_OUT = 1.6  # strikes that eject; a success halves them
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
@@ -534,6 +536,9 @@
                 request.phase = Phase.HELD
         else:
             server = self._choose_reader(request)
+            if server is not None and self._too_late(request, server):
+                self._give_up(request)
+                return
             if server is not None:
                 reading = server.role is Role.READER
                 self._send(request, server, Phase.READING if reading else Phase.WRITING)
@@ -543,6 +548,17 @@
             request.phase = Phase.HELD
         self.held[request.name] = None
 
+    def _too_late(self, request: Request, server: Server) -> bool:
+        """Whether the first token is expected so late that the work had better go to others."""
+        read, write = self.latency[server.role], self.latency[Role.WRITER]
+        if read.count < 10 or not self._may_refuse(request):
+            return False
+        work = max(request.prompt - self._covered(server, request), BLOCK)
+        expected = read.mean * (server.work_out + work) + write.mean + self.now - request.arrived
+        best = max(cls.worth for cls in self.settings.classes)
+        share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
+        return expected > share * request.aim()
+
     def _reads_whole(self) -> bool:
         """Whether some server up takes a request whole, in one attempt."""
         return any(s.state is ServerState.UP and (s.role is Role.MIXED or (
