--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -343,6 +343,9 @@
         servers = self._usable(pure, request) or self._usable(able, request)
         if not servers:
             return None
+        # Exception (pile-up): a reader whose own queue makes the answer late does not compete while
+        # another is in time; kept prefixes would draw ever more to it.
+        servers = [s for s in servers if not self._too_late(request, s)] or servers
         scores = self._scores(request, servers)
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
