--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -672,6 +672,8 @@
             server.streams -= 1
         outcome = event.outcome
         if outcome is Outcome.READ:
+            # The pace is that of the work truly done: kept text that was gone had to be read too.
+            request.queue += max(request.prompt - event.kept_tokens, BLOCK) - request.work
             self._good(server, request, event.elapsed)
             # Exception (voided prefixes): a read that found far less than a proven entry promised
             # shows that the reader forgot; what was sent before this read goes from its table.
