--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -39,8 +39,8 @@
 STRIKES_OUT = 1.6  # strikes that eject; a success halves them
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
 TRIALS = 3  # good outcomes, one at a time, that end an ejection
-SLOW_RATIO, SLOW_RUN = 2.0, 6  # so many outcomes in a row, each so far over the role's mean, are slow
-SLOW_AIM_SHARE = 0.1  # a latency below this share of the aim harms nobody and is not slow
+SLOW_RATIO, SLOW_SAMPLES = 2.5, 5  # a smoothed pace so far over the role's median is slow
+SLOW_AIM_SHARE = 0.1  # a read that takes less than this share of the aim harms nobody
 FULL_PAUSE = 300 * MS
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
 SMOOTH = 0.2  # weight of a new sample in running means
@@ -61,20 +61,26 @@
 
 @dataclass(slots=True)
 class Stat:
-    """Running mean and mean deviation of a latency."""
+    """Running latency for each unit of work, and how far single ones lie from it."""
 
-    mean: float = 0.0
-    dev: float = 0.0
+    time: float = 0.0
+    work: float = 0.0
+    dev: float = 0.0  # mean deviation, as a share of what was expected
     count: int = 0
 
-    def add(self, value: float) -> None:
+    def add(self, time: float, work: float) -> None:
+        if self.count:
+            self.dev += SMOOTH / 4 * (abs(time / max(self.pace() * work, 1.0) - 1.0) - self.dev)
         self.count += 1
         share = max(SMOOTH / 4, 1.0 / self.count)
-        self.dev += share * (abs(value - self.mean) - self.dev) if self.count > 1 else value / 2
-        self.mean += share * (value - self.mean)
+        self.time += share * (time - self.time)
+        self.work += share * (work - self.work)
+
+    def pace(self) -> float:
+        return self.time / self.work if self.work else 0.0
 
     def high(self) -> float:
-        return self.mean + 4.0 * self.dev
+        return self.pace() * (1.0 + 4.0 * max(self.dev, 0.5))
 
 
 @dataclass(slots=True)
@@ -138,7 +144,8 @@
     trials: int = 0  # good outcomes still wanted before the server counts as sound
     lost: bool = False  # it could not be reached: it may come back cold and empty
     good_at: int = 0
-    slow_run: int = 0  # slow outcomes in a row
+    pace: float = 0.0  # smoothed latency: of a read for each token queued, of a writer's first token
+    samples: int = 0  # of the pace
     full_until: int = 0
     cold_until: int = 0
     cold_sends: deque[int] = field(default_factory=deque)
@@ -297,7 +304,7 @@
             return None
         reported = report.waiting_tokens
         if reported is None:
-            reported = (report.in_flight or 0.0) * self.prompt_work.mean
+            reported = (report.in_flight or 0.0) * self.prompt_work.pace()
         return max(server.work_out, reported + server.work_out - server.work_then)
 
     def _scores(self, request: Request, servers: list[Server]) -> dict[str, float]:
@@ -314,7 +321,7 @@
         low, high = min(relative.values()), max(relative.values())
         # Exception (tiny spread): a spread below one request's reading is noise and is not
         # stretched to the full range.
-        spread = max(high - low, self.prompt_work.mean, 1.0)
+        spread = max(high - low, self.prompt_work.pace(), 1.0)
         most_states = max(s.states for s in servers)
         reports = {s.name: report for s in servers if (report := self._report(s)) is not None}
         shares = [r.memory_share for r in reports.values() if r.memory_share is not None]
@@ -407,7 +414,7 @@
         if not server.waiting:
             return False
         oldest = min(server.waiting.values())
-        patience = max(self.latency[server.role].high() * (server.work_out + 1.0), float(QUIET_LEAST))
+        patience = max(self.latency[server.role].high() * (server.work_out or 1.0), float(QUIET_LEAST))
         return server.good_at < oldest and self.now - oldest > patience
 
     def _cold_room(self, server: Server) -> bool:
@@ -437,12 +444,10 @@
 
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
-        # Reads are judged by the time for each token that stood before them and in them.  A busy
-        # server still answers something quickly now and then; a slow one never does.
-        slow = (stat.count >= 10 and elapsed / request.queue > SLOW_RATIO * stat.mean
-                and elapsed > SLOW_AIM_SHARE * request.aim())
-        server.slow_run = server.slow_run + 1 if slow else 0
-        stat.add(elapsed / request.queue)
+        pace = elapsed / request.queue  # reads: for each token that stood before them and in them
+        server.samples += 1
+        server.pace += max(SMOOTH, 1.0 / server.samples) * (pace - server.pace)
+        stat.add(float(elapsed), request.queue)
         server.good_at = self.now
         server.strikes /= 2
         if server.cold_until <= self.now:
@@ -455,9 +460,13 @@
             server.trials -= 1
             if not server.trials:
                 server.span = EJECT_FIRST
-        if server.slow_run >= SLOW_RUN and server.cold_until <= self.now:
-            server.slow_run = 0
-            self._eject(server, "slow")
+        if server.samples >= SLOW_SAMPLES and not server.trials and server.cold_until <= self.now:
+            peers = sorted(s.pace for s in self.servers.values()
+                           if s.role is server.role and s.samples >= SLOW_SAMPLES)
+            harmful = server.role is not Role.READER or elapsed > SLOW_AIM_SHARE * request.aim()
+            if harmful and server.pace > SLOW_RATIO * peers[len(peers) // 2]:
+                server.samples = 0
+                self._eject(server, "slow")
 
     def _strike(self, server: Server, outcome: Outcome) -> None:
         unreachable = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
@@ -557,7 +566,8 @@
         if read.count < 10 or not self._may_refuse(request):
             return False
         work = max(request.prompt - self._covered(server, request), BLOCK)
-        expected = read.mean * (server.work_out + work) + write.mean + self.now - request.arrived
+        expected = (read.pace() * (server.work_out + work + self.prompt_work.pace()) + write.pace()
+                    + self.now - request.arrived)
         best = max(cls.worth for cls in self.settings.classes)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
         return expected > share * request.aim()
@@ -604,12 +614,13 @@
         if phase is Phase.READING or not request.reader:
             covered = self._covered(server, request)
             request.work = float(max(request.prompt - covered, BLOCK))
-            self.prompt_work.add(request.work)
+            self.prompt_work.add(request.work, 1.0)
             request.credit = self._covered(server, request, proven=True)
             for key, tokens in request_keys(request):
                 server.table.learn(key, tokens, self.now)
             server.work_out += request.work
-        request.queue = server.work_out + 1.0
+        # A read also has a fixed part, taken as that of one mean prompt.
+        request.queue = server.work_out + self.prompt_work.pace() if request.work else 1.0
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
