--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -30,7 +30,8 @@
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
-QUIET_LEAST = 1 * SECOND  # a server's silence below this says nothing
+QUIET_LEAST = 1 * SECOND  # a server's silence below this says nothing,
+QUIET_WORST = 1.5  # nor does one below so many times the role's longest answer of late
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
@@ -61,16 +62,15 @@
 
 @dataclass(slots=True)
 class Stat:
-    """Running latency for each unit of work, and how far single ones lie from it."""
+    """Running latency for each unit of work, and the longest of late."""
 
     time: float = 0.0
     work: float = 0.0
-    dev: float = 0.0  # mean deviation, as a share of what was expected
+    worst: float = 0.0  # longest of late, fading with each sample
     count: int = 0
 
     def add(self, time: float, work: float) -> None:
-        if self.count:
-            self.dev += SMOOTH / 4 * (abs(time / max(self.pace() * work, 1.0) - 1.0) - self.dev)
+        self.worst = max(time, 0.98 * self.worst)
         self.count += 1
         share = max(SMOOTH / 4, 1.0 / self.count)
         self.time += share * (time - self.time)
@@ -79,9 +79,6 @@
     def pace(self) -> float:
         return self.time / self.work if self.work else 0.0
 
-    def high(self) -> float:
-        return self.pace() * (1.0 + 4.0 * max(self.dev, 0.5))
-
 
 @dataclass(slots=True)
 class Entry:
@@ -414,7 +411,7 @@
         if not server.waiting:
             return False
         oldest = min(server.waiting.values())
-        patience = max(self.latency[server.role].high() * (server.work_out or 1.0), float(QUIET_LEAST))
+        patience = max(QUIET_WORST * self.latency[server.role].worst, float(QUIET_LEAST))
         return server.good_at < oldest and self.now - oldest > patience
 
     def _cold_room(self, server: Server) -> bool:
@@ -472,14 +469,15 @@
         unreachable = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         server.strikes += 1.0
         if unreachable:
+            # Exception (crash): its process is gone and what it kept with it.
+            self._lost_all(server)
             self._lose(server, outcome.value)
         elif server.trials or server.strikes >= STRIKES_OUT:
             self._eject(server, outcome.value)
 
     def _lose(self, server: Server, reason: str) -> None:
-        """The server can't be reached: it will most likely come back cold and empty."""
+        """The server can't be reached: it will most likely come back cold."""
         server.lost = True
-        self._lost_all(server)
         self._eject(server, reason)
 
     def _eject(self, server: Server, reason: str) -> None:
