--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -172,7 +172,6 @@
     credit: int = 0  # tokens a proven entry promised at the send
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
-    place_held: bool = False
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
     stands_since: int = 0  # when the state came to wait with no attempt out
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
@@ -223,8 +222,8 @@
                 self._gone(event)
             case api.PlaceAnswer():
                 request = self.requests.get(event.request)
-                if request is not None and request.place == event.server:
-                    request.place_held = event.held
+                if request is not None and request.place == event.server and not event.held:
+                    self._drop_place(request)
             case api.ProbeEnded():
                 self._probe_ended(event)
         return self.actions
@@ -529,8 +528,7 @@
             return
         if request.reader:
             reader = self.servers.get(request.reader)
-            if request.place and not request.place_held:
-                self._drop_place(request)
+            # The answer to a place may be lost; a state that moved there exists nowhere else.
             place = self.servers.get(request.place)
             if place is not None and place in self._usable([place], request):
                 writer: Server | None = place
@@ -578,7 +576,7 @@
     def _hold_place(self, request: Request, cell: int) -> None:
         writer = self._choose_writer(request, cell)
         if writer is not None:
-            request.place, request.place_held, request.holds = writer.name, False, True
+            request.place, request.holds = writer.name, True
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
 
@@ -586,7 +584,7 @@
         writer = self.servers.get(request.place)
         if writer is not None:
             writer.streams -= 1
-        request.place, request.place_held = "", False
+        request.place = ""
 
     def _release(self, request: Request) -> None:
         """Let go of the state and the place held for a request, if any."""
