--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -68,11 +68,17 @@
     work: float = 0.0
     worst: float = 0.0  # longest of late, fading with each sample
     count: int = 0
+    at: int = 0  # when last added to
 
-    def add(self, time: float, work: float) -> None:
+    def recent(self, now: int) -> float:
+        """The pace, halved for each second without a sample: refusing must not keep it high."""
+        return float(self.pace() * 0.5 ** max(0.0, (now - self.at) / SECOND - 0.5))
+
+    def add(self, time: float, work: float, now: int = 0) -> None:
+        self.at = now
         self.worst = max(time, 0.98 * self.worst)
         self.count += 1
-        share = max(SMOOTH / 4, 1.0 / self.count)
+        share = max(SMOOTH / 2, 1.0 / self.count)
         self.time += share * (time - self.time)
         self.work += share * (work - self.work)
 
@@ -443,7 +449,7 @@
         pace = elapsed / request.queue  # reads: for each token that stood before them and in them
         server.samples += 1
         server.pace += max(SMOOTH, 1.0 / server.samples) * (pace - server.pace)
-        stat.add(float(elapsed), request.queue)
+        stat.add(float(elapsed), request.queue, self.now)
         server.good_at = self.now
         server.strikes /= 2
         if server.cold_until <= self.now:
@@ -562,7 +568,7 @@
         if read.count < 10 or not self._may_refuse(request):
             return False
         work = max(request.prompt - self._covered(server, request), BLOCK)
-        expected = (read.pace() * (server.work_out + work + self.prompt_work.pace()) + write.pace()
+        expected = (read.recent(self.now) * (server.work_out + work + self.prompt_work.pace()) + write.recent(self.now)
                     + self.now - request.arrived)
         best = max(cls.worth for cls in self.settings.classes)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
