--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -20,7 +20,7 @@
 SECOND = 1_000 * MS
 
 # The mechanism's own figures (docs/design.md).
-WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 3.0, 2.0, 2.0
+WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 1.0, 4.0, 0.5
 BLOCK = 16  # tokens
 TABLE_BLOCKS = 31_250  # most blocks kept for one server
 LEAVE_FACTOR, LEAVE_STREAMS = 1.3, 2.0  # a cell's best stands "well above" mean * factor + streams
@@ -30,8 +30,8 @@
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
-QUIET_LEAST = 1 * SECOND  # a server's silence below this says nothing,
-QUIET_WORST = 1.5  # nor does one below so many times the role's longest answer of late
+QUIET_LEAST = 2 * SECOND  # a server's silence below this says nothing,
+QUIET_WORST = 2.0  # nor does one below so many times the role's longest answer of late
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
@@ -40,7 +40,7 @@
 STRIKES_OUT = 1.6  # strikes that eject; a success halves them
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
 TRIALS = 3  # good outcomes, one at a time, that end an ejection
-SLOW_RATIO, SLOW_SAMPLES = 2.5, 5  # a smoothed pace so far over the role's median is slow
+SLOW_RATIO, SLOW_SAMPLES = 3.0, 8  # a smoothed pace so far over the role's median is slow
 SLOW_AIM_SHARE = 0.1  # a read that takes less than this share of the aim harms nobody
 FULL_PAUSE = 300 * MS
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
@@ -568,8 +568,8 @@
         if read.count < 10 or not self._may_refuse(request):
             return False
         work = max(request.prompt - self._covered(server, request), BLOCK)
-        expected = (read.recent(self.now) * (server.work_out + work + self.prompt_work.pace()) + write.recent(self.now)
-                    + self.now - request.arrived)
+        queued = server.work_out + work + self.prompt_work.pace()
+        expected = read.recent(self.now) * queued + write.recent(self.now) + self.now - request.arrived
         best = max(cls.worth for cls in self.settings.classes)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
         return expected > share * request.aim()
