--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -569,7 +569,11 @@
             return False
         work = max(request.prompt - self._covered(server, request), BLOCK)
         queued = server.work_out + work + self.prompt_work.pace()
-        expected = read.recent(self.now) * queued + write.recent(self.now) + self.now - request.arrived
+        # Writers are also judged by who waits there now: their first tokens tell of it too late.
+        writers = [s for s in self.servers.values() if s.role is Role.WRITER and s.state is ServerState.UP]
+        ages = [self.now - min(s.waiting.values()) for s in writers if s.waiting]
+        write_wait = max(write.recent(self.now), sum(ages) / max(len(writers), 1))
+        expected = read.recent(self.now) * queued + write_wait + self.now - request.arrived
         best = max(cls.worth for cls in self.settings.classes)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
         return expected > share * request.aim()
