--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -20,7 +20,7 @@
 SECOND = 1_000 * MS
 
 # The mechanism's own figures (docs/design.md).
-WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 1.0, 4.0, 0.5
+WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 3.0, 2.0, 2.0
 BLOCK = 16  # tokens
 TABLE_BLOCKS = 31_250  # most blocks kept for one server
 LEAVE_FACTOR, LEAVE_STREAMS = 1.3, 2.0  # a cell's best stands "well above" mean * factor + streams
@@ -43,6 +43,7 @@
 SLOW_RATIO, SLOW_SAMPLES = 3.0, 8  # a smoothed pace so far over the role's median is slow
 SLOW_AIM_SHARE = 0.1  # a read that takes less than this share of the aim harms nobody
 FULL_PAUSE = 300 * MS
+WRITER_WAITS = 200 * MS  # a writer whose first tokens take longer has no room
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
 SMOOTH = 0.2  # weight of a new sample in running means
 
@@ -364,6 +365,10 @@
         servers = self._usable(writers, request) or self._usable(mixed, request)
         if not servers:
             return None
+        # Exception (full memory): where own requests wait for their first token, longer prompts than
+        # elsewhere fill the memory; the count of streams does not show it.  Covers slow and hung writers;
+        # it could harm by moving a state to another cell when a whole cell is briefly full.
+        servers = [s for s in servers if not self._waits(s)] or servers
         heard = {s.name: self._streams(s) for s in servers}
         known = [streams for streams in heard.values() if streams is not None]
         mean = sum(known) / len(known) if known else 0.0
@@ -382,6 +387,9 @@
                 return nearest
         return best
 
+    def _waits(self, server: Server) -> bool:
+        return bool(server.waiting) and self.now - min(server.waiting.values()) > WRITER_WAITS
+
     def _streams(self, server: Server) -> float | None:
         """Streams at a writer: reported and own change since; our own where none report."""
         if self.settings.report_source is api.ReportSource.NONE:
@@ -626,7 +634,7 @@
                 server.table.learn(key, tokens, self.now)
             server.work_out += request.work
         # A read also has a fixed part, taken as that of one mean prompt.
-        request.queue = server.work_out + self.prompt_work.pace() if request.work else 1.0
+        request.queue = server.work_out + self.prompt_work.pace() if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
