--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -34,6 +34,7 @@
 QUIET_WORST = 2.0  # nor does one below so many times the role's longest answer of late
 PROBE_EVERY = 2 * SECOND  # where reports come by probe only
 
+CROWDED = 0.4  # share of the aim from which a reader is passed over for one that takes less
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
 
 # Ours: health.
@@ -353,9 +354,13 @@
         servers = self._usable(pure, request) or self._usable(able, request)
         if not servers:
             return None
-        # Exception (pile-up): a reader whose own queue makes the answer late does not compete while
-        # another is in time; kept prefixes would draw ever more to it.
-        servers = [s for s in servers if not self._too_late(request, s)] or servers
+        # Exception (pile-up): a reader whose queue takes much of the aim does not compete while another's
+        # does not; kept prefixes would draw ever more to it.
+        for share in (CROWDED, ADMIT):
+            uncrowded = [s for s in servers if self._expected(request, s) <= share]
+            if uncrowded:
+                servers = uncrowded
+                break
         scores = self._scores(request, servers)
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
@@ -570,21 +575,28 @@
             request.phase = Phase.HELD
         self.held[request.name] = None
 
-    def _too_late(self, request: Request, server: Server) -> bool:
-        """Whether the first token is expected so late that the work had better go to others."""
-        read, write = self.latency[server.role], self.latency[Role.WRITER]
-        if read.count < 10 or not self._may_refuse(request):
-            return False
+    def _expected(self, request: Request, server: Server) -> float:
+        """Expected time to the first token, from the arrival, as a share of the aim."""
+        read = self.latency[server.role]
+        if read.count < 10:
+            return 0.0
+        # A reader's own pace tells of other routers' work there; it fades to the role's.
+        pace = read.recent(self.now)
+        if server.samples:
+            pace += (server.pace - pace) * 0.5 ** ((self.now - server.good_at) / SECOND)
         work = max(request.prompt - self._covered(server, request), BLOCK)
         queued = server.work_out + work + self.prompt_work.pace()
         # Writers are also judged by who waits there now: their first tokens tell of it too late.
         writers = [s for s in self.servers.values() if s.role is Role.WRITER and s.state is ServerState.UP]
         ages = [self.now - min(s.waiting.values()) for s in writers if s.waiting]
-        write_wait = max(write.recent(self.now), sum(ages) / max(len(writers), 1))
-        expected = read.recent(self.now) * queued + write_wait + self.now - request.arrived
+        write_wait = max(self.latency[Role.WRITER].recent(self.now), sum(ages) / max(len(writers), 1))
+        return float(pace * queued + write_wait + self.now - request.arrived) / request.aim()
+
+    def _too_late(self, request: Request, server: Server) -> bool:
+        """Whether the answer is expected so late that the work had better go to others."""
         best = max(cls.worth for cls in self.settings.classes)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
-        return expected > share * request.aim()
+        return self._may_refuse(request) and self._expected(request, server) > share
 
     def _reads_whole(self) -> bool:
         """Whether some server up takes a request whole, in one attempt."""
