--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -1,12 +1,10 @@
 """Every decision of stonetrack.  The interface (settings, events, actions) is stonetrack/api.py.
 
-One Router is one node.  It is pure: the clock comes with each event, the same events give the
-same actions.  Reading order: settings, tables, scores, choices, health, request life.
+One Router is one node, pure in its events.  Order: tables, scores, choices, health, request life.
 """
 
 from __future__ import annotations
 
-import random
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -21,12 +19,12 @@
 
 # The mechanism's own figures (docs/design.md).
 WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 3.0, 2.0, 2.0
+WEIGHTS = WEIGHT_PREFIX + WEIGHT_LOAD + WEIGHT_MEMORY
 BLOCK = 16  # tokens
 TABLE_BLOCKS = 31_250  # most blocks kept for one server
 LEAVE_FACTOR, LEAVE_STREAMS = 1.3, 2.0  # a cell's best stands "well above" mean * factor + streams
 REPORT_AGE = 5 * SECOND  # an older load report is no longer heard
 
-# Ours: timing.
 SWEEP = 50 * MS  # how often held requests and silent servers are looked at
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
@@ -41,8 +39,7 @@
 STRIKES_OUT = 1.6  # strikes that eject; a success halves them
 EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
 TRIALS = 3  # good outcomes, one at a time, that end an ejection
-SLOW_RATIO, SLOW_SAMPLES = 3.0, 8  # a smoothed pace so far over the role's median is slow
-SLOW_AIM_SHARE = 0.1  # a read that takes less than this share of the aim harms nobody
+QUOTA_SPAN = 4 * SECOND  # a tenant may use this much of its quota at once
 FULL_PAUSE = 300 * MS
 WRITER_WAITS = 200 * MS  # a writer whose first tokens take longer has no room
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
@@ -74,7 +71,7 @@
 
     def recent(self, now: int) -> float:
         """The pace, halved for each second without a sample: refusing must not keep it high."""
-        return float(self.pace() * 0.5 ** max(0.0, (now - self.at) / SECOND - 0.5))
+        return self.pace() * float(0.5 ** max(0.0, (now - self.at) / SECOND - 0.5))
 
     def add(self, time: float, work: float, now: int = 0) -> None:
         self.at = now
@@ -114,14 +111,9 @@
             self.drop(next(iter(self.entries)))
 
     def drop(self, key: str) -> None:
-        entry = self.entries.pop(key, None)
-        if entry is not None:
+        if (entry := self.entries.pop(key, None)) is not None:
             self.blocks -= entry.tokens // BLOCK
 
-    def drop_before(self, time: int) -> None:
-        for key in [k for k, e in self.entries.items() if e.sent < time]:
-            self.drop(key)
-
 
 @dataclass(slots=True)
 class Server:
@@ -162,7 +154,7 @@
 
     name: str
     cls: api.RequestClass
-    tenant: int
+    over_share: bool  # its tenant has used up its quota here
     session: str
     beginning: str | None
     beginning_tokens: int
@@ -173,7 +165,6 @@
     attempts: int = 0
     server: str = ""  # where the attempt out is
     sent: int = 0
-    cancelled: bool = False
     writing: bool = False  # the attempt out may answer, so it counts as a stream there
     work: float = 0.0  # tokens it has to read there
     queue: float = 1.0  # those, and those of this router's attempts before it
@@ -196,7 +187,7 @@
     def __init__(self, settings: api.Settings, seed: int) -> None:
         check_settings(settings)
         self.settings = settings
-        self.random = random.Random(seed)
+        self.seed = seed  # nothing is drawn at random today
         self.now = 0
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
@@ -204,7 +195,8 @@
         self.held: dict[str, None] = {}
         self.latency = {role: Stat() for role in Role}
         self.prompt_work = Stat()  # tokens to read of one request
-        self.carried = {role: [0.0, 0.0] for role in Role}  # good outcomes in a window, and when
+        self.good: dict[Role, deque[int]] = {role: deque() for role in Role}  # outcomes of warm servers
+        self.allowance: dict[int, tuple[float, int]] = {}  # requests left within a tenant's quota, and when
         self.subscribe_at = 0
         self.timer_set = False
 
@@ -215,53 +207,46 @@
         if not self.timer_set:
             self.timer_set = True
             self.actions.append(api.SetTimer(0, SWEEP))
-        match event:
-            case api.RequestArrived():
-                self._arrived(event)
-            case api.AttemptEnded():
-                self._attempt_ended(event)
-            case api.FirstToken():
-                self._first_token(event)
-            case api.TimerFired():
-                self._sweep()
-            case api.ServerList():
-                self._server_list(event)
-            case api.RequestGone():
-                self._gone(event)
-            case api.PlaceAnswer():
-                request = self.requests.get(event.request)
-                if request is not None and request.place == event.server and not event.held:
-                    self._drop_place(request)
-            case api.ProbeEnded():
-                self._probe_ended(event)
+        if isinstance(event, api.RequestArrived):
+            self._arrived(event)
+        elif isinstance(event, api.AttemptEnded):
+            self._attempt_ended(event)
+        elif isinstance(event, api.FirstToken):
+            self._first_token(event)
+        elif isinstance(event, api.TimerFired):
+            self._sweep()
+        elif isinstance(event, api.ServerList):
+            self._server_list(event)
+        elif isinstance(event, api.ProbeEnded):
+            self._probe_ended(event)
+        elif (request := self.requests.get(event.request)) is not None:
+            if isinstance(event, api.RequestGone) and request.phase is not Phase.ENDED:
+                self._end(request)
+            elif isinstance(event, api.PlaceAnswer) and request.place == event.server and not event.held:
+                self._drop_place(request)
         return self.actions
 
     # The server list.
 
     def _server_list(self, event: api.ServerList) -> None:
-        if event.kind is ListKind.FAILED:
-            self.subscribe_at = self.now + SECOND
-            return
-        if event.kind is ListKind.SAVED and self.settings.list_on_request:
-            self.actions.append(api.Subscribe())
-        listed = set()
+        if event.kind in (ListKind.SAVED, ListKind.FAILED):
+            self.subscribe_at = self.now + SECOND * (event.kind is ListKind.FAILED)
+        listed = {entry.server for entry in event.entries}
         for entry in event.entries:
-            listed.add(entry.server)
             if not 0 <= entry.kind < len(self.settings.kinds):
                 raise ValueError(f"server {entry.server}: unknown kind {entry.kind}")
             self._listed(entry)
-        if event.kind is not ListKind.CHANGES:
-            for server in self.servers.values():
-                if server.name not in listed:
-                    server.state = ServerState.REMOVED
+        for server in self.servers.values():
+            if event.kind in (ListKind.SAVED, ListKind.FULL) and server.name not in listed:
+                server.state = ServerState.REMOVED
         self._forget_servers()
 
     def _listed(self, entry: api.ServerEntry) -> None:
         server = self.servers.get(entry.server)
         kind = self.settings.kinds[entry.kind]
+        if server is None and entry.state is ServerState.REMOVED:
+            return
         if server is None:
-            if entry.state is ServerState.REMOVED:
-                return
             blocks = min(TABLE_BLOCKS, kind.memory_tokens // BLOCK or TABLE_BLOCKS)
             server = Server(entry.server, kind.role, entry.zone, entry.cell, entry.weight, entry.started,
                             PrefixTable(blocks))
@@ -269,31 +254,24 @@
             server.cold_until = entry.started + self.settings.warm_within if entry.started else 0
         elif entry.started != server.started and entry.state is ServerState.UP:
             # A restart: nothing that was kept there is left, and the server is cold.
-            self._lost_all(server)
+            server.table, server.report = PrefixTable(server.table.limit), None
             server.started = entry.started
             server.cold_until = max(server.cold_until, entry.started + self.settings.warm_within)
         server.state, server.role = entry.state, kind.role
         server.zone, server.cell, server.weight = entry.zone, entry.cell, entry.weight
 
-    def _lost_all(self, server: Server) -> None:
-        server.table = PrefixTable(server.table.limit)
-        server.report = None
-
     def _forget_servers(self) -> None:
-        for name in [s.name for s in self.servers.values()
-                     if s.state is ServerState.REMOVED and not s.waiting and not s.streams and not s.states]:
-            del self.servers[name]
+        for s in list(self.servers.values()):
+            if s.state is ServerState.REMOVED and not (s.waiting or s.streams or s.states):
+                del self.servers[s.name]
 
     # Scores of the reader choice, each within [0, 1].
 
     def _covered(self, server: Server, request: Request, proven: bool = False) -> int:
         """Longest covered length held there for this prompt, in tokens (only what a read proved)."""
-        best = 0
-        for key, tokens in request_keys(request):
-            entry = server.table.entries.get(key)
-            if entry is not None and (entry.proven or not proven):
-                best = max(best, min(entry.tokens, tokens))
-        return best
+        held = server.table.entries
+        return max((min(held[key].tokens, tokens) for key, tokens in request_keys(request)
+                    if key in held and (held[key].proven or not proven)), default=0)
 
     def _report(self, server: Server) -> api.LoadReport | None:
         fresh = server.report is not None and self.now - server.report_at <= REPORT_AGE
@@ -302,64 +280,52 @@
     def _read_load(self, server: Server) -> float | None:
         """Tokens to be read there: reported and own change since; own sends out where none report."""
         if self.settings.report_source is api.ReportSource.NONE:
-            return server.work_out
-        report = self._report(server)
-        if report is None or (report.waiting_tokens is None and report.in_flight is None):
+            return server.work_out / server.weight
+        if (report := self._report(server)) is None:
             return None
-        reported = report.waiting_tokens
-        if reported is None:
-            reported = (report.in_flight or 0.0) * self.prompt_work.pace()
-        return max(server.work_out, reported + server.work_out - server.work_then)
+        requests = (report.in_flight or 0.0) * self.prompt_work.pace()
+        reported = requests if report.waiting_tokens is None else report.waiting_tokens
+        return max(server.work_out, reported + server.work_out - server.work_then) / server.weight
 
     def _scores(self, request: Request, servers: list[Server]) -> dict[str, float]:
         """Weighted sum of the three scores for each server."""
-        heard = {s.name: self._read_load(s) for s in servers}
         relative: dict[str, float] = {}
-        for role in (Role.READER, Role.MIXED, Role.WRITER):
-            loads = [load for s in servers if s.role is role and (load := heard[s.name]) is not None]
-            mean = sum(loads) / len(loads) if loads else 0.0
-            for s in servers:
-                if s.role is role:
-                    load = heard[s.name]
-                    relative[s.name] = ((mean if load is None else load) - mean) / s.weight
+        for role in Role:
+            heard = {s.name: self._read_load(s) for s in servers if s.role is role}
+            loads = [load for load in heard.values() if load is not None]
+            mean = sum(loads) / max(len(loads), 1)
+            for name, load in heard.items():
+                relative[name] = (mean if load is None else load) - mean
         low, high = min(relative.values()), max(relative.values())
-        # Exception (tiny spread): a spread below one request's reading is noise and is not
-        # stretched to the full range.
+        # Exception (tiny spread): below one request's reading it is noise, not stretched to the full range.
         spread = max(high - low, self.prompt_work.pace(), 1.0)
-        most_states = max(s.states for s in servers)
-        reports = {s.name: report for s in servers if (report := self._report(s)) is not None}
-        shares = [r.memory_share for r in reports.values() if r.memory_share is not None]
-        total = WEIGHT_PREFIX + WEIGHT_LOAD + WEIGHT_MEMORY
+        shares = {s.name: r.memory_share for s in servers
+                  if (r := self._report(s)) is not None and r.memory_share is not None}
+        mean_share = sum(shares.values()) / max(len(shares), 1)
+        most_states = max(1, max(s.states for s in servers))
         result = {}
         for s in servers:
             prefix = self._covered(s, request) / max(request.prompt, 1)
-            load = (high - relative[s.name]) / spread if high - low >= spread else (
-                1.0 - (relative[s.name] - low) / spread)
-            report = reports.get(s.name)
-            if report is not None and report.memory_share is not None:
-                used = report.memory_share
-            elif shares:
-                used = sum(shares) / len(shares)
-            else:
-                used = s.states / most_states if most_states else 0.0
-            result[s.name] = (WEIGHT_PREFIX * clamp(prefix) + WEIGHT_LOAD * clamp(load)
-                              + WEIGHT_MEMORY * clamp(1.0 - used)) / total
+            idle = 1.0 - (relative[s.name] - low) / spread
+            used = shares.get(s.name, mean_share) if shares else s.states / most_states
+            result[s.name] = (WEIGHT_PREFIX * clamp(prefix) + WEIGHT_LOAD * clamp(idle)
+                              + WEIGHT_MEMORY * clamp(1.0 - used)) / WEIGHTS
         return result
 
     # The choices.
 
     def _choose_reader(self, request: Request) -> Server | None:
-        able = [s for s in self.servers.values() if s.role is not Role.WRITER or self.settings.writers_read]
-        pure = [s for s in able if s.role is not Role.WRITER]
-        servers = self._usable(pure, request) or self._usable(able, request)
+        readers = [s for s in self.servers.values() if s.role is not Role.WRITER]
+        whole = list(self.servers.values()) if self.settings.writers_read else []
+        servers = self._usable(readers, request) or self._usable(whole, request)
         if not servers:
             return None
         # Exception (pile-up): a reader whose queue takes much of the aim does not compete while another's
         # does not; kept prefixes would draw ever more to it.
+        expected = {s.name: self._expected(request, s) for s in servers}
         for share in (CROWDED, ADMIT):
-            uncrowded = [s for s in servers if self._expected(request, s) <= share]
-            if uncrowded:
-                servers = uncrowded
+            if min(expected.values()) <= share:
+                servers = [s for s in servers if expected[s.name] <= share]
                 break
         scores = self._scores(request, servers)
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
@@ -370,10 +336,10 @@
         servers = self._usable(writers, request) or self._usable(mixed, request)
         if not servers:
             return None
-        # Exception (full memory): where own requests wait for their first token, longer prompts than
-        # elsewhere fill the memory; the count of streams does not show it.  Covers slow and hung writers;
-        # it could harm by moving a state to another cell when a whole cell is briefly full.
-        servers = [s for s in servers if not self._waits(s)] or servers
+        # Exception (full memory): where own requests wait for a first token, long prompts fill the memory
+        # unseen in the count of streams.  Covers slow and hung writers; could move a state out of its cell.
+        servers = [s for s in servers if not s.waiting
+                   or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
         heard = {s.name: self._streams(s) for s in servers}
         known = [streams for streams in heard.values() if streams is not None]
         mean = sum(known) / len(known) if known else 0.0
@@ -385,22 +351,14 @@
             return (streams, -self._tie(server, request))
 
         best = min(servers, key=load)
-        near = [s for s in servers if s.cell == cell]
-        if near:
-            nearest = min(near, key=load)
-            if load(nearest)[0] <= mean * LEAVE_FACTOR + LEAVE_STREAMS:
-                return nearest
-        return best
-
-    def _waits(self, server: Server) -> bool:
-        return bool(server.waiting) and self.now - min(server.waiting.values()) > WRITER_WAITS
+        near = min((s for s in servers if s.cell == cell), key=load, default=best)
+        return near if load(near)[0] <= mean * LEAVE_FACTOR + LEAVE_STREAMS else best
 
     def _streams(self, server: Server) -> float | None:
         """Streams at a writer: reported and own change since; our own where none report."""
         if self.settings.report_source is api.ReportSource.NONE:
             return server.streams / server.weight
-        report = self._report(server)
-        if report is None or report.in_flight is None:
+        if (report := self._report(server)) is None or report.in_flight is None:
             return None
         return max(server.streams, report.in_flight + server.streams - server.streams_then) / server.weight
 
@@ -413,49 +371,34 @@
         """Sound servers; failing that, any that is up and can bear a send."""
         able = [s for s in servers if s.state is ServerState.UP and s.full_until <= self.now
                 and self._cold_room(s) and self._may_repeat(request, s)]
-        sound = [s for s in able if self._sound(s)]
-        fresh = [s for s in sound if s.name not in request.failed]
-        if fresh or sound:
-            return fresh or sound
-        return [s for s in able if s.name not in request.failed] or able
-
-    def _sound(self, server: Server) -> bool:
-        if server.ejected_until > self.now or self._silent(server):
-            return False
-        return not server.trials or not server.waiting
+        sound = [s for s in able if s.ejected_until <= self.now and not self._silent(s)
+                 and not (s.trials and s.waiting)]
+        group = sound or able
+        return [s for s in group if s.name not in request.failed] or group
 
     def _silent(self, server: Server) -> bool:
         """An attempt has waited far longer than such attempts do, and nothing came since it left."""
-        if not server.waiting:
-            return False
-        oldest = min(server.waiting.values())
+        oldest = min(server.waiting.values(), default=self.now)
         patience = max(QUIET_WORST * self.latency[server.role].worst, float(QUIET_LEAST))
         return server.good_at < oldest and self.now - oldest > patience
 
     def _cold_room(self, server: Server) -> bool:
         """Whether a cold server may be sent one more request by this router alone.
 
-        Its budget in a window is this router's own mean load of a warm server of the role,
-        times the multiple and the share it starts with: each router counts its own share.
-        """
+        The budget is what a warm server of the role did for this router in a window (so each router
+        counts its own share) times the multiple and the share of capacity that a start has."""
         if server.cold_until <= self.now:
             return True
-        window = self.settings.cold_window
-        while server.cold_sends and server.cold_sends[0] <= self.now - window:
-            server.cold_sends.popleft()
         peers = sum(1 for s in self.servers.values() if s.role is server.role
                     and s.state is ServerState.UP and s.cold_until <= self.now)
-        carried = self._carried(server.role, 0.0) / max(peers, 1)
+        carried = self._in_window(self.good[server.role]) / max(peers, 1)
         budget = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share * carried
-        return len(server.cold_sends) + 1 <= max(1.0, budget)
+        return self._in_window(server.cold_sends) + 1 <= max(1.0, budget)
 
-    def _carried(self, role: Role, more: float) -> float:
-        """Good outcomes of a role in one cold window, smoothed; adds ``more``."""
-        count, at = self.carried[role]
-        window = max(self.settings.cold_window, 1)
-        count *= max(0.0, 1.0 - (self.now - at) / window) if self.now - at < window else 0.0
-        self.carried[role] = [count + more, float(self.now)]
-        return count + more
+    def _in_window(self, times: deque[int]) -> int:
+        while times and times[0] <= self.now - self.settings.cold_window:
+            times.popleft()
+        return len(times)
 
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
@@ -466,37 +409,25 @@
         server.good_at = self.now
         server.strikes /= 2
         if server.cold_until <= self.now:
-            self._carried(server.role, 1.0)
+            self.good[server.role].append(self.now)
+            self._in_window(self.good[server.role])
         if server.lost:
             # Back after it could not be reached: most likely restarted, so cold until told more.
             server.lost = False
             server.cold_until = max(server.cold_until, self.now + self.settings.warm_within)
-        if server.trials:
-            server.trials -= 1
-            if not server.trials:
-                server.span = EJECT_FIRST
-        if server.samples >= SLOW_SAMPLES and not server.trials and server.cold_until <= self.now:
-            peers = sorted(s.pace for s in self.servers.values()
-                           if s.role is server.role and s.samples >= SLOW_SAMPLES)
-            harmful = server.role is not Role.READER or elapsed > SLOW_AIM_SHARE * request.aim()
-            if harmful and server.pace > SLOW_RATIO * peers[len(peers) // 2]:
-                server.samples = 0
-                self._eject(server, "slow")
+        server.trials = max(0, server.trials - 1)
+        if not server.trials:
+            server.span = EJECT_FIRST
 
     def _strike(self, server: Server, outcome: Outcome) -> None:
-        unreachable = outcome in (Outcome.CONNECT_FAILED, Outcome.RESET)
         server.strikes += 1.0
-        if unreachable:
+        if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             # Exception (crash): its process is gone and what it kept with it.
-            self._lost_all(server)
-            self._lose(server, outcome.value)
-        elif server.trials or server.strikes >= STRIKES_OUT:
-            self._eject(server, outcome.value)
-
-    def _lose(self, server: Server, reason: str) -> None:
-        """The server can't be reached: it will most likely come back cold."""
-        server.lost = True
-        self._eject(server, reason)
+            server.table, server.report = PrefixTable(server.table.limit), None
+            server.lost = True
+        elif not server.trials and server.strikes < STRIKES_OUT:
+            return
+        self._eject(server, outcome.value)
 
     def _eject(self, server: Server, reason: str) -> None:
         """Leave a server out for a while, then try it with single requests; a third of a role at most."""
@@ -512,15 +443,13 @@
 
     def _probe_ended(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.server)
-        if server is None:
-            return
-        if event.outcome is Outcome.SERVED:
+        if server is not None and event.outcome is Outcome.SERVED:
             self._take_report(server, event.report)
-        else:
+        elif server is not None:
             self._strike(server, event.outcome)
 
-    def _take_report(self, server: Server, report: api.LoadReport | None) -> None:
-        if report is not None:
+    def _take_report(self, server: Server | None, report: api.LoadReport | None) -> None:
+        if server is not None and report is not None:
             server.report, server.report_at = report, self.now
             server.streams_then, server.work_then = server.streams, server.work_out
 
@@ -530,21 +459,28 @@
         if not 0 <= event.class_index < len(self.settings.classes):
             raise ValueError(f"request {event.request}: unknown class {event.class_index}")
         request = Request(
-            event.request, self.settings.classes[event.class_index], event.tenant, event.session,
-            event.shared_beginning, min(event.shared_tokens, event.prompt_tokens), event.prompt_tokens,
-            self.now, self.now + event.time_left)
+            event.request, self.settings.classes[event.class_index], self._over_share(event.tenant),
+            event.session, event.shared_beginning, min(event.shared_tokens, event.prompt_tokens),
+            event.prompt_tokens, self.now, self.now + event.time_left)
         self.requests[request.name] = request
         self._advance(request)
 
+    def _over_share(self, tenant: int) -> bool:
+        """Take one from the tenant's allowance here: its quota among the routers, for QUOTA_SPAN."""
+        if not 0 <= tenant < len(self.settings.tenants):
+            return False
+        rate = self.settings.tenants[tenant].quota_per_second / self.settings.routers / SECOND
+        left, at = self.allowance.get(tenant, (rate * QUOTA_SPAN, self.now))
+        left = min(left + rate * (self.now - at), rate * QUOTA_SPAN)
+        self.allowance[tenant] = (left - (left >= 1.0), self.now)
+        return rate > 0.0 and left < 1.0
+
     def _advance(self, request: Request) -> None:
         """Move on a request that has no attempt out: send it, hold it, or end it."""
         left = request.deadline - self.now
-        steps = 1 if request.reader else 2
-        if self._reads_whole():
-            steps = 1
+        steps = 1 if request.reader or self._reads_whole() else 2
         if left <= ANSWER_MARGIN or request.attempts + steps > self.settings.max_attempts:
-            self._give_up(request)
-            return
+            return self._give_up(request)
         if request.reader:
             reader = self.servers.get(request.reader)
             # The answer to a place may be lost; a state that moved there exists nowhere else.
@@ -554,8 +490,7 @@
             else:
                 writer = self._choose_writer(request, reader.cell if reader else None)
             if writer is not None:
-                self._send(request, writer, Phase.WRITING)
-                return
+                return self._send(request, writer, Phase.WRITING)
             if request.phase is not Phase.READ:
                 request.phase, request.stands_since = Phase.READ, self.now
             if self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
@@ -564,21 +499,18 @@
         else:
             server = self._choose_reader(request)
             if server is not None and self._too_late(request, server):
-                self._give_up(request)
-                return
+                return self._give_up(request)
             if server is not None:
                 reading = server.role is Role.READER
                 self._send(request, server, Phase.READING if reading else Phase.WRITING)
-                if reading and self.settings.may_hold_place:
-                    self._hold_place(request, server.cell)
-                return
+                return self._hold_place(request, server.cell) if reading else None
             request.phase = Phase.HELD
         self.held[request.name] = None
+        return None
 
     def _expected(self, request: Request, server: Server) -> float:
         """Expected time to the first token, from the arrival, as a share of the aim."""
-        read = self.latency[server.role]
-        if read.count < 10:
+        if (read := self.latency[server.role]).count < 10:
             return 0.0
         # A reader's own pace tells of other routers' work there; it fades to the role's.
         pace = read.recent(self.now)
@@ -595,7 +527,8 @@
     def _too_late(self, request: Request, server: Server) -> bool:
         """Whether the answer is expected so late that the work had better go to others."""
         best = max(cls.worth for cls in self.settings.classes)
-        share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * request.cls.worth / best
+        worth = request.cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
+        share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * worth / best
         return self._may_refuse(request) and self._expected(request, server) > share
 
     def _reads_whole(self) -> bool:
@@ -604,15 +537,14 @@
             s.role is Role.WRITER and self.settings.writers_read)) for s in self.servers.values())
 
     def _hold_place(self, request: Request, cell: int) -> None:
-        writer = self._choose_writer(request, cell)
+        writer = self._choose_writer(request, cell) if self.settings.may_hold_place else None
         if writer is not None:
             request.place, request.holds = writer.name, True
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
 
     def _drop_place(self, request: Request) -> None:
-        writer = self.servers.get(request.place)
-        if writer is not None:
+        if (writer := self.servers.get(request.place)) is not None:
             writer.streams -= 1
         request.place = ""
 
@@ -625,40 +557,35 @@
         self._drop_place(request)
 
     def _drop_state(self, request: Request) -> None:
-        reader = self.servers.get(request.reader)
-        if reader is not None:
+        if (reader := self.servers.get(request.reader)) is not None:
             reader.states -= 1
         request.reader = ""
 
     def _send(self, request: Request, server: Server, phase: Phase) -> None:
         self.held.pop(request.name, None)
-        time_limit = request.deadline - self.now
         request.phase, request.server, request.sent = phase, server.name, self.now
-        request.writing, request.cancelled = phase is Phase.WRITING, False
+        request.writing = phase is Phase.WRITING
         server.waiting[request.name] = self.now
         request.work = 0.0
         if phase is Phase.READING or not request.reader:
-            covered = self._covered(server, request)
-            request.work = float(max(request.prompt - covered, BLOCK))
+            request.work = float(max(request.prompt - self._covered(server, request), BLOCK))
             self.prompt_work.add(request.work, 1.0)
             request.credit = self._covered(server, request, proven=True)
             for key, tokens in request_keys(request):
                 server.table.learn(key, tokens, self.now)
             server.work_out += request.work
-        # A read also has a fixed part, taken as that of one mean prompt.
-        request.queue = server.work_out + self.prompt_work.pace() if request.work else len(server.waiting)
+        fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
+        request.queue = server.work_out + fixed if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
         if server.cold_until > self.now:
             server.cold_sends.append(self.now)
-        # No time-out of its own: a busy server answers in turn, and work called off is done twice.
-        # Attempts are called off where the server falls silent (_sweep).
-        self.actions.append(api.Send(request.name, server.name, time_limit))
+        # No time-out of its own: work called off is done twice.  _call_off ends what a silent server has.
+        self.actions.append(api.Send(request.name, server.name, request.deadline - self.now))
 
     def _first_token(self, event: api.FirstToken) -> None:
-        request = self.requests.get(event.request)
-        server = self.servers.get(event.server)
+        request, server = self.requests.get(event.request), self.servers.get(event.server)
         if request is None or request.attempts != event.attempt or server is None:
             return
         server.waiting.pop(request.name, None)
@@ -670,8 +597,7 @@
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         server = self.servers.get(event.server)
-        if server is not None:
-            self._take_report(server, event.report)
+        self._take_report(server, event.report)
         request = self.requests.get(event.request)
         if request is None or request.attempts != event.attempt or not request.server:
             return
@@ -679,27 +605,24 @@
         ended = event.finished or request.phase is Phase.ENDED
         if server is not None:
             self._settle(request, server, event)
+            server.states += event.outcome is Outcome.READ
         request.server = ""
         if request.writing and not request.ran_on and event.outcome in UNPROVEN:
             request.ran_on, request.ran_at = event.server, request.sent
         if event.outcome is Outcome.READ:
             request.reader, request.holds = event.server, True
-            if server is not None:
-                server.states += 1
         elif event.state_missing:
-            # The reader lost the state (it died, restarted or is cut off): read anew elsewhere.
+            # The reader lost the state (dead, restarted, cut off): read anew, free what a place took.
             request.failed += (request.reader,)
-            # What a place took meanwhile goes too.
             self._release(request)
         elif event.outcome not in (Outcome.SERVED, Outcome.NOT_SENT):
             request.failed += (event.server,)
-        if ended:
+        if ended or not request.reader:
             self._release(request)
+        if ended:
             self._forget(request)
-            return
-        if not request.reader:
-            self._release(request)
-        self._advance(request)
+        else:
+            self._advance(request)
 
     def _settle(self, request: Request, server: Server, event: api.AttemptEnded) -> None:
         """Book an attempt's end at its server: counters, health, the reader's table."""
@@ -707,19 +630,18 @@
         server.work_out = max(0.0, server.work_out - request.work)
         if request.writing:
             server.streams -= 1
-        outcome = event.outcome
-        if outcome is Outcome.READ:
+        if (outcome := event.outcome) is Outcome.READ:
             # The pace is that of the work truly done: kept text that was gone had to be read too.
             request.queue += max(request.prompt - event.kept_tokens, BLOCK) - request.work
             self._good(server, request, event.elapsed)
-            # Exception (voided prefixes): a read that found far less than a proven entry promised
-            # shows that the reader forgot; what was sent before this read goes from its table.
+            # Exception (voided prefixes): a read that found far less than a proven entry promised shows
+            # that the reader forgot; what was sent before this read goes from its table.
             if request.credit >= 4 * BLOCK and event.kept_tokens < request.credit // 2:
-                server.table.drop_before(request.sent)
+                for key in [k for k, e in server.table.entries.items() if e.sent < request.sent]:
+                    server.table.drop(key)
             for key, _ in request_keys(request):
-                entry = server.table.entries.get(key)
-                if entry is not None:
-                    entry.proven = True
+                if key in server.table.entries:
+                    server.table.entries[key].proven = True
         elif outcome is Outcome.SERVED:
             server.good_at = self.now
         elif outcome is Outcome.FULL and not event.state_missing:
@@ -727,11 +649,6 @@
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             self._strike(server, outcome)
 
-    def _gone(self, event: api.RequestGone) -> None:
-        request = self.requests.get(event.request)
-        if request is not None and request.phase is not Phase.ENDED:
-            self._end(request)
-
     def _end(self, request: Request) -> None:
         """The request is answered or its client gone; nothing new goes out for it."""
         self.held.pop(request.name, None)
@@ -744,16 +661,13 @@
             self._forget(request)
 
     def _forget(self, request: Request) -> None:
-        self.held.pop(request.name, None)
         self.requests.pop(request.name, None)
         self._forget_servers()
 
     def _give_up(self, request: Request) -> None:
-        if self._may_refuse(request):
-            after = min(self.settings.max_retry_after, SECOND // 2) if self.settings.may_advise_retry else 0
-            self.actions.append(api.Refuse(request.name, after))
-        else:
-            self.actions.append(api.Fail(request.name))
+        after = min(self.settings.max_retry_after, SECOND // 2) if self.settings.may_advise_retry else 0
+        refuse = self._may_refuse(request)
+        self.actions.append(api.Refuse(request.name, after) if refuse else api.Fail(request.name))
         self._end(request)
 
     # Effects.
@@ -768,27 +682,24 @@
         """Whether a send to this server can have no second effect."""
         if not request.ran_on or request.cls.effect is Effect.SAFE:
             return True
-        if request.cls.effect is Effect.UNSAFE or self.now >= request.ran_at + request.cls.key_window:
-            return False
         first = self.servers.get(request.ran_on)
-        if request.cls.scope is api.Scope.ALL:
-            return True
-        if first is None:
+        if (request.cls.effect is Effect.UNSAFE or first is None
+                or self.now >= request.ran_at + request.cls.key_window):
             return False
-        if request.cls.scope is api.Scope.ZONE:
-            return server.zone == first.zone
-        return server.cell == first.cell
+        return {api.Scope.ALL: True, api.Scope.ZONE: server.zone == first.zone,
+                api.Scope.CELL: server.cell == first.cell}[request.cls.scope]
 
-    # The sweep.
 
     def _call_off(self, server: Server) -> None:
         """A silent server (hung, cut off, dead): leave it out and take back what it has not begun."""
-        self._lose(server, "silent")
-        for name, sent in server.waiting.items():
+        server.lost = True
+        self._eject(server, "silent")
+        for name in [n for n, sent in server.waiting.items() if sent > server.good_at]:
             request = self.requests[name]
-            if sent > server.good_at and request.phase is not Phase.ENDED and not request.cancelled and (
-                    self.settings.may_cancel and request.attempts + 2 < self.settings.max_attempts):
-                request.cancelled = True
+            again = request.cls.effect is Effect.SAFE or not request.writing
+            if (again and request.phase is not Phase.ENDED and self.settings.may_cancel
+                    and request.attempts + 2 < self.settings.max_attempts):
+                del server.waiting[name]
                 self.actions.append(api.Cancel(name, request.attempts))
 
     def _sweep(self) -> None:
@@ -796,13 +707,10 @@
         if self.subscribe_at and self.subscribe_at <= self.now and self.settings.list_on_request:
             self.subscribe_at = 0
             self.actions.append(api.Subscribe())
-        for server in self.servers.values():
-            if self._silent(server):
-                self._call_off(server)
+        for server in [s for s in self.servers.values() if self._silent(s)]:
+            self._call_off(server)
         for name in list(self.held):
-            request = self.requests.get(name)
-            if request is not None and name in self.held:
-                self._advance(request)
+            self._advance(self.requests[name])
         if self.settings.report_source is api.ReportSource.PROBES and self.settings.may_probe:
             for server in self.servers.values():
                 if server.state is ServerState.UP and self.now - server.report_at > PROBE_EVERY:
@@ -818,7 +726,7 @@
 
 def request_keys(request: Request) -> Iterable[tuple[str, int]]:
     """A prompt's keys in the prefix table, with the tokens each covers."""
-    if request.beginning is not None and request.beginning_tokens:
+    if request.beginning is not None:
         yield "beginning " + request.beginning, request.beginning_tokens
     if request.session:
         yield "session " + request.session, request.prompt
@@ -826,9 +734,8 @@
 
 def check_settings(settings: api.Settings) -> None:
     """Raise ValueError naming the value that can't be used."""
-    for kind in settings.kinds:
-        if not isinstance(kind.role, Role):
-            raise ValueError(f"unknown role {kind.role!r}")
+    for role in [kind.role for kind in settings.kinds if not isinstance(kind.role, Role)]:
+        raise ValueError(f"unknown role {role!r}")
     for name, value in (("classes", len(settings.classes)), ("kinds", len(settings.kinds)),
                         ("routers", settings.routers), ("max_attempts", settings.max_attempts)):
         if value < 1:
