--- a/tests/bed.py
+++ b/tests/bed.py
@@ -69,8 +69,11 @@
         base = api.AttemptEnded(send.request, attempt, send.server, outcome, elapsed)
         return self.give(replace(base, **more))  # type: ignore[arg-type]
 
-    def read(self, send: api.Send, attempt: int = 0, kept: int = 0, elapsed: int = 100 * MS) -> api.Send:
-        """The read succeeds; the send to the writer that follows."""
+    def read(self, send: api.Send, attempt: int = 0, kept: int | None = None,
+             elapsed: int = 100 * MS) -> api.Send:
+        """The read succeeds, by default finding what was promised; the send to the writer that follows."""
+        if kept is None:
+            kept = self.router.requests[send.request].credit
         return only(self.end(send, api.Outcome.READ, attempt, elapsed, kept_tokens=kept), api.Send)
 
     def serve(self, send: api.Send, attempt: int = 1) -> None:
--- /dev/null
+++ b/tests/test_choices.py
@@ -0,0 +1,359 @@
+"""The scores, the two choices, and each exception: its test fails without it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from stonetrack import api
+from stonetrack.logic import BLOCK, MS, SECOND, PrefixTable, Router, Stat
+from tests.bed import FLEET, MIXED, READER, SETTINGS, WRITER, Bed, entry, of, only
+
+TWO_READERS = (entry("r0", READER), entry("r1", READER), entry("w0", WRITER), entry("w1", WRITER))
+ANSWERS = replace(SETTINGS, report_source=api.ReportSource.ANSWERS)
+
+
+def warm(bed: Bed, count: int = 12) -> None:
+    """Teach the router its paces with requests one after another."""
+    for n in range(count):
+        bed.whole(f"warm{n}")
+        bed.now += SECOND
+
+
+# The table.
+
+
+def test_the_table_is_bounded_and_drops_the_least_recent() -> None:
+    table = PrefixTable(limit=10)
+    for n in range(5):
+        table.learn(f"k{n}", 4 * BLOCK + 3, now=n)
+    assert list(table.entries) == ["k3", "k4"]
+    assert table.blocks == 8
+    table.learn("k3", 5 * BLOCK, now=9)
+    assert list(table.entries) == ["k4", "k3"] and table.blocks == 9
+    table.learn("tiny", BLOCK - 1, now=9)
+    assert "tiny" not in table.entries
+
+
+# Reader choice.
+
+
+def test_a_session_and_a_beginning_return_to_their_reader() -> None:
+    bed = Bed()
+    first = bed.whole("q1", session="s", beginning="b", shared=1600, prompt=2000)  # type: ignore[arg-type]
+    assert bed.whole("q2", session="s", prompt=2400) == first  # type: ignore[arg-type]
+    assert bed.whole("q3", session="t", beginning="b", shared=1600, prompt=1700) == first  # type: ignore[arg-type]
+
+
+def test_load_outweighs_no_match_and_reports_are_used() -> None:
+    bed = Bed(ANSWERS, TWO_READERS)
+    warm(bed)
+    for name, tokens in (("r0", 90_000.0), ("r1", 0.0)):
+        server = bed.router.servers[name]
+        server.report, server.report_at = api.LoadReport(1.0, 0.0, 0.1, tokens), bed.now
+    assert {only(bed.ask(f"q{n}"), api.Send).server for n in range(3)} == {"r1"}
+
+
+def test_ties_are_stable_and_spread() -> None:
+    picks = [{only(Bed().ask("q", session=f"s{n}"), api.Send).server for _ in range(2)} for n in range(30)]
+    assert all(len(pick) == 1 for pick in picks)
+    assert set().union(*picks) == {"r0", "r1", "r2", "r3"}
+
+
+def test_a_mixed_server_competes_and_serves_whole() -> None:
+    bed = Bed(fleet=(entry("r0", READER), entry("m0", MIXED), entry("w0", WRITER)))
+    served = set()
+    for n in range(20):
+        send = only(bed.ask(f"q{n}"), api.Send)
+        served.add(send.server)
+        if send.server == "m0":
+            bed.serve(send, attempt=0)
+        else:
+            bed.serve(bed.read(send))
+    assert served == {"r0", "m0"}
+
+
+def test_a_writer_alone_reads_where_writers_read() -> None:
+    fleet = (entry("w0", WRITER),)
+    assert not of(Bed(fleet=fleet).ask("q"), api.Send)
+    bed = Bed(replace(SETTINGS, writers_read=True), fleet)
+    bed.serve(only(bed.ask("q"), api.Send), attempt=0)
+    assert not bed.router.requests
+
+
+def test_tiny_spreads_of_load_are_not_stretched() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    warm(bed, 12)
+    bed.router.prompt_work.time = 5_000.0
+    bed.router.prompt_work.work = 1.0
+    home = bed.whole("q1", session="s", prompt=1600)  # type: ignore[arg-type]
+    bed.router.servers[home].work_out = 60.0  # a sliver of work
+    assert only(bed.ask("q2", session="s", prompt=3200), api.Send).server == home
+
+
+def test_a_crowded_reader_is_passed_over_despite_its_prefix() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    warm(bed)
+    home = bed.whole("q1", session="s", prompt=1600)  # type: ignore[arg-type]
+    other = {"r0": "r1", "r1": "r0"}[home]
+    for name in (home, other):
+        bed.router.servers[name].pace = bed.router.latency[api.Role.READER].pace()
+    pace = bed.router.latency[api.Role.READER].pace()
+    bed.router.servers[home].work_out = 1.2 * SECOND / pace
+    bed.router.servers[other].work_out = bed.router.servers[home].work_out * 0.3
+    assert only(bed.ask("q2", session="s", prompt=1600), api.Send).server == other
+
+
+def test_a_crash_empties_the_table() -> None:
+    bed = Bed()
+    send = only(bed.ask("q1", session="s"), api.Send)
+    bed.end(send, api.Outcome.CONNECT_FAILED, 0)
+    assert not bed.router.servers[send.server].table.entries
+
+
+def test_a_restart_told_by_the_list_empties_the_table_and_is_cold() -> None:
+    bed = Bed()
+    home = bed.whole("q1")
+    started = bed.now
+    bed.give(api.ServerList(api.ListKind.CHANGES, 2, (entry(home, READER, started=started),)))
+    server = bed.router.servers[home]
+    assert not server.table.entries
+    assert server.cold_until == started + SETTINGS.warm_within
+
+
+def test_a_read_that_finds_nothing_kept_voids_older_entries() -> None:
+    bed = Bed(fleet=TWO_READERS[:1] + TWO_READERS[2:])
+    for n in range(4):
+        bed.whole(f"q{n}", session=f"s{n}", prompt=1600)  # type: ignore[arg-type]
+    assert len(bed.router.servers["r0"].table.entries) == 4
+    bed.read(only(bed.ask("again", session="s0", prompt=3200), api.Send), kept=0)
+    assert list(bed.router.servers["r0"].table.entries) == ["session s0"]
+    bed.read(only(bed.ask("third", session="s0", prompt=4800), api.Send), kept=3200)
+    assert "session s0" in bed.router.servers["r0"].table.entries
+
+
+# Writer choice.
+
+
+def written(bed: Bed, name: str) -> tuple[str, str]:
+    send = only(bed.ask(name), api.Send)
+    write = bed.read(send)
+    bed.give(api.FirstToken(name, 1, write.server, 50 * MS))
+    return send.server, write.server
+
+
+def test_the_writer_is_in_the_readers_cell_with_the_fewest_streams() -> None:
+    bed = Bed()
+    cells = {e.server: e.cell for e in FLEET}
+    for n in range(8):
+        reader, writer = written(bed, f"q{n}")
+        assert cells[reader] == cells[writer]
+
+
+def test_a_cell_whose_best_stands_well_above_the_mean_is_left() -> None:
+    bed = Bed()
+    for name in ("w0", "w2"):
+        bed.router.servers[name].streams = 30
+    for name in ("w1", "w3"):
+        bed.router.servers[name].streams = 2
+    writers = {written(bed, f"q{n}")[1] for n in range(6)}
+    assert writers <= {"w1", "w3"}
+
+
+def test_a_writer_without_a_report_counts_as_average() -> None:
+    bed = Bed(ANSWERS, (entry("r0", READER), entry("w0", WRITER), entry("w1", WRITER), entry("w2", WRITER)))
+    for name, streams in (("w0", 10.0), ("w1", 30.0)):
+        server = bed.router.servers[name]
+        server.report, server.report_at = api.LoadReport(streams), bed.now
+    assert written(bed, "q")[1] == "w0"
+
+
+def test_a_writer_where_requests_wait_is_passed_over() -> None:
+    bed = Bed(fleet=(entry("r0", READER), entry("w0", WRITER), entry("w1", WRITER)))
+    stuck = bed.read(only(bed.ask("q0"), api.Send)).server
+    other = {"w0": "w1", "w1": "w0"}[stuck]
+    bed.router.servers[other].streams = 20
+    bed.now += 300 * MS
+    assert written(bed, "q1")[1] == other
+
+
+def test_a_place_without_an_answer_is_used_and_a_refused_one_is_not() -> None:
+    bed = Bed(replace(SETTINGS, may_hold_place=True))
+    actions = bed.ask("q1")
+    place = only(actions, api.HoldPlace).server
+    bed.router.servers[place].streams += 9
+    assert bed.read(only(actions, api.Send)).server == place
+    actions = bed.ask("q2")
+    place = only(actions, api.HoldPlace).server
+    bed.give(api.PlaceAnswer("q2", 0, place, held=False))
+    bed.router.servers[place].streams += 90
+    assert bed.read(only(actions, api.Send)).server != place
+
+
+# Health.
+
+
+def test_a_silent_server_is_left_out_and_its_reads_are_called_off() -> None:
+    bed = Bed()
+    send = only(bed.ask("q1"), api.Send)
+    got = bed.wait(3 * SECOND)
+    assert of(got, api.Cancel) == [api.Cancel("q1", 0)]
+    assert "left out: silent" in only(got, api.Log).text
+    again = only(bed.end(send, api.Outcome.CANCELLED, 0, elapsed=0), api.Send)
+    assert again.server != send.server
+
+
+def test_a_short_silence_says_nothing() -> None:
+    bed = Bed()
+    bed.ask("q1")
+    assert not of(bed.wait(1_900 * MS), api.Cancel)
+
+
+def test_two_errors_eject_and_three_good_trials_bring_back() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    server = bed.router.servers["r0"]
+    for _ in range(2):
+        bed.router._strike(server, api.Outcome.ERROR)
+    assert server.ejected_until > bed.now
+    assert {bed.whole(f"q{n}") for n in range(6)} == {"r1"}
+    bed.now = server.ejected_until
+    assert server.trials == 3
+    names = [f"t{n}" for n in range(30)]
+    assert "r0" in {bed.whole(name) for name in names}
+    assert server.trials == 0
+
+
+def test_never_more_than_a_third_of_a_role_is_left_out() -> None:
+    bed = Bed(fleet=(*(entry(f"r{n}", READER) for n in range(6)), entry("w0", WRITER)))
+    for server in list(bed.router.servers.values())[:6]:
+        bed.router._eject(server, "test")
+    assert sum(s.ejected_until > bed.now for s in bed.router.servers.values()) == 2
+
+
+def test_a_full_server_is_paused_and_another_tried() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    send = only(bed.ask("q1"), api.Send)
+    again = only(bed.end(send, api.Outcome.FULL, 0), api.Send)
+    assert again.server != send.server
+    assert bed.whole("q2") == again.server
+
+
+def test_a_missing_state_is_read_again_elsewhere() -> None:
+    bed = Bed()
+    send = only(bed.ask("q1"), api.Send)
+    write = bed.read(send)
+    actions = bed.end(write, api.Outcome.FULL, 1, state_missing=True)
+    assert of(actions, api.Release) == [api.Release("q1")]
+    again = only(actions, api.Send)
+    assert bed.router.servers[again.server].role is api.Role.READER and again.server != send.server
+
+
+def test_a_cold_server_gets_no_more_than_its_budget() -> None:
+    fleet = (entry("r0", READER), entry("r1", READER), entry("w0", WRITER))
+    bed = Bed(fleet=fleet)
+    for n in range(40):
+        bed.whole(f"q{n}", prompt=64)
+    bed.give(api.ServerList(api.ListKind.CHANGES, 2, (entry("r1", READER, started=bed.now),)))
+    before = len(of(bed.actions, api.Send))
+    for n in range(60):
+        bed.whole(f"c{n}", prompt=64)
+        assert len(bed.router.servers["r1"].cold_sends) <= 8
+    cold = sum(s.server == "r1" for s in of(bed.actions, api.Send)[before:])
+    assert 0 < cold < 30
+
+
+# Overload.
+
+
+def jam(bed: Bed) -> None:
+    """Every reader has a queue that takes 0.75 of the aim."""
+    warm(bed)
+    pace = bed.router.latency[api.Role.READER].pace()
+    for server in bed.router.servers.values():
+        if server.role is api.Role.READER:
+            server.pace, server.work_out = pace, 0.75 * 2 * SECOND / pace
+    bed.router.latency[api.Role.READER].at = bed.now
+
+
+def test_what_would_be_late_is_refused_and_the_less_worthy_first() -> None:
+    cheap = replace(SETTINGS.classes[0], worth=0.1)
+    bed = Bed(replace(SETTINGS, classes=(SETTINGS.classes[0], cheap), may_advise_retry=True,
+                      max_retry_after=SECOND // 4))
+    jam(bed)
+    assert only(bed.ask("worthy", prompt=64), api.Send)
+    assert only(bed.ask("cheap", prompt=64, class_index=1), api.Refuse).retry_after == SECOND // 4
+
+
+def test_a_tenant_over_its_quota_is_refused_first() -> None:
+    tenants = (api.Tenant("big", 100.0), api.Tenant("small", 0.5))
+    bed = Bed(replace(SETTINGS, tenants=tenants, over_share_worth=0.05))
+    jam(bed)
+    assert only(bed.ask("q1", prompt=64, tenant=1), api.Send)
+    assert only(bed.ask("q2", prompt=64, tenant=1), api.Refuse)
+    assert only(bed.ask("q3", prompt=64, tenant=0), api.Send)
+
+
+def test_expectations_fade_while_nothing_is_sampled() -> None:
+    stat = Stat()
+    stat.add(3.0 * SECOND, 1.0, now=0)
+    assert stat.recent(0) == pytest.approx(3.0 * SECOND)
+    assert stat.recent(3 * SECOND) < 0.6 * SECOND
+
+
+def test_a_flush_does_not_look_like_a_slow_reader() -> None:
+    bed = Bed(fleet=TWO_READERS[:1] + TWO_READERS[2:])
+    bed.whole("q1", session="s", prompt=16_000)  # type: ignore[arg-type]
+    before = bed.router.latency[api.Role.READER].pace()
+    bed.read(only(bed.ask("q2", session="s", prompt=16_160), api.Send), kept=0)
+    assert bed.router.latency[api.Role.READER].pace() < 1.5 * before
+
+
+# The library's edges.
+
+
+def test_nothing_up_is_held_then_refused_in_time() -> None:
+    bed = Bed(fleet=())
+    assert not of(bed.ask("q1", left=SECOND), api.Refuse)
+    assert of(bed.wait(SECOND), api.Refuse) == [api.Refuse("q1", 0)]
+
+
+def test_stale_and_unknown_events_are_passed_over() -> None:
+    bed = Bed()
+    for event in (api.FirstToken("x", 0, "r0", 1), api.RequestGone("x"), api.PlaceAnswer("x", 0, "w0", True),
+                  api.AttemptEnded("x", 0, "gone", api.Outcome.ERROR, 1),
+                  api.ProbeEnded("gone", api.Outcome.SERVED, 1), api.TimerFired(99)):
+        assert not of(bed.give(event), api.Send)
+
+
+@pytest.mark.parametrize("change, words", [
+    ({"classes": ()}, "classes must be at least 1, not 0"),
+    ({"routers": 0}, "routers must be at least 1, not 0"),
+    ({"router": 5}, "router 5"),
+    ({"kinds": (api.Kind("chef"),)}, "unknown role 'chef'"),  # type: ignore[arg-type]
+])
+def test_wrong_settings_are_named(change: dict[str, object], words: str) -> None:
+    with pytest.raises(ValueError, match=words):
+        Router(replace(SETTINGS, **change), 1)  # type: ignore[arg-type]
+
+
+def test_wrong_events_are_named() -> None:
+    with pytest.raises(ValueError, match="unknown kind 9"):
+        Bed(fleet=(entry("x", 9),))
+    with pytest.raises(ValueError, match="unknown class 3"):
+        Bed().ask("q", class_index=3)
+
+
+def test_the_list_is_subscribed_where_it_must_be_asked_for() -> None:
+    bed = Bed(replace(SETTINGS, list_on_request=True))
+    assert len(of(bed.wait(SECOND), api.Subscribe)) == 1
+    bed.give(api.ServerList(api.ListKind.FAILED))
+    assert not of(bed.wait(900 * MS), api.Subscribe)
+    assert len(of(bed.wait(SECOND), api.Subscribe)) == 1
+
+
+def test_probes_are_paced() -> None:
+    bed = Bed(replace(SETTINGS, report_source=api.ReportSource.PROBES, may_probe=True))
+    probes = of(bed.wait(20 * SECOND), api.Probe)
+    assert 8 * 9 <= len(probes) <= 8 * 22
+    assert not of(Bed(replace(SETTINGS, report_source=api.ReportSource.PROBES)).wait(SECOND), api.Probe)
