--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -357,3 +357,27 @@
     probes = of(bed.wait(20 * SECOND), api.Probe)
     assert 8 * 9 <= len(probes) <= 8 * 22
     assert not of(Bed(replace(SETTINGS, report_source=api.ReportSource.PROBES)).wait(SECOND), api.Probe)
+
+
+def test_a_server_on_trial_has_one_request_at_a_time() -> None:
+    bed = Bed(fleet=(*TWO_READERS, entry("r2", READER)))
+    bed.router.servers["r0"].trials = 3
+    sends = [only(bed.ask(f"q{n}"), api.Send).server for n in range(30)]
+    assert sends.count("r0") == 1
+
+
+def test_a_silent_server_is_not_chosen_even_before_the_sweep() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    silent = only(bed.ask("q1", session="s"), api.Send).server
+    bed.now += 5 * SECOND
+    assert only(bed.ask("q2", session="s"), api.Send).server != silent
+
+
+def test_a_server_that_was_lost_comes_back_cold() -> None:
+    bed = Bed(fleet=TWO_READERS)
+    server = bed.router.servers["r0"]
+    bed.router._strike(server, api.Outcome.CONNECT_FAILED)
+    bed.now = server.ejected_until
+    while server.lost:
+        bed.whole(f"q{bed.now}")
+    assert server.cold_until > bed.now
