--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections import Counter, OrderedDict, deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from zlib import crc32
@@ -23,28 +23,31 @@
 BLOCK = 16  # tokens
 TABLE_BLOCKS = 31_250  # most blocks kept for one server
 LEAVE_FACTOR, LEAVE_STREAMS = 1.3, 2.0  # a cell's best stands "well above" mean * factor + streams
-REPORT_AGE = 5 * SECOND  # an older load report is no longer heard
+REPORT_HALF = 2 * SECOND  # a load report's distance from the mean halves in this time
+NOISE = 4  # differences below so many requests' reading, or waiting states, are noise
+NEAR = WEIGHT_LOAD / 2 / WEIGHTS  # scores this close are a tie for a key that no own table holds
+READERS_PER_HOME = 6  # a shared beginning gets one home for about so many readers,
+RECENT = 32  # or for each even share of a reader that it has of so many last requests
 
-SWEEP = 50 * MS  # how often held requests and silent servers are looked at
+SWEEP = 50 * MS  # how often held and waiting requests are looked at while there are any
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
-QUIET_LEAST = 2 * SECOND  # a server's silence below this says nothing,
-QUIET_WORST = 2.0  # nor does one below so many times the role's longest answer of late
-PROBE_EVERY = 2 * SECOND  # where reports come by probe only
+PATIENCE = 0.5  # share of the time left, to the aim or then the end, in which no attempt is called late
+CREDIT_EACH, CREDIT_MOST = 0.25, 3.0  # calls off that a timely outcome allows, and the most saved up
 
 CROWDED = 0.4  # share of the aim from which a reader is passed over for one that takes less
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
 
 # Ours: health.
-STRIKES_OUT = 1.6  # strikes that eject; a success halves them
-EJECT_FIRST, EJECT_MOST = 1 * SECOND, 8 * SECOND
-TRIALS = 3  # good outcomes, one at a time, that end an ejection
+PAUSE_LEAST, PAUSE_MOST = 300 * MS, 16 * SECOND  # how long a server that failed is left out
+SLOW_FULL = 0.05  # a refusal as full that took more of the aim is meant for the class alone
+PROVEN_FOR = 20 * SECOND  # so long a good outcome recommends a server to a further attempt
 QUOTA_SPAN = 4 * SECOND  # a tenant may use this much of its quota at once
-FULL_PAUSE = 300 * MS
 WRITER_WAITS = 200 * MS  # a writer whose first tokens take longer has no room
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
 SMOOTH = 0.2  # weight of a new sample in running means
 
+ALL = -1  # stands for every class
 UNPROVEN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)  # it may have run
 
 
@@ -61,29 +64,41 @@
 
 @dataclass(slots=True)
 class Stat:
-    """Running latency for each unit of work, and the longest of late."""
+    """Running latency and its deviation, and the work that it was for."""
 
     time: float = 0.0
+    spread: float = 0.0
     work: float = 0.0
-    worst: float = 0.0  # longest of late, fading with each sample
     count: int = 0
     at: int = 0  # when last added to
 
-    def recent(self, now: int) -> float:
-        """The pace, halved for each second without a sample: refusing must not keep it high."""
-        return self.pace() * float(0.5 ** max(0.0, (now - self.at) / SECOND - 0.5))
+    def recent(self, now: int, gap: float = 0.0) -> float:
+        """The pace, halved in each time of its own length without a sample: refusals give none."""
+        return self.pace() * float(0.5 ** max(0.0, (now - self.at - gap) / max(SECOND, self.time) - 0.5))
 
     def add(self, time: float, work: float, now: int = 0) -> None:
         self.at = now
-        self.worst = max(time, 0.98 * self.worst)
         self.count += 1
         share = max(SMOOTH / 2, 1.0 / self.count)
+        self.spread += share * (abs(time - self.time) * (self.count > 1) - self.spread)
         self.time += share * (time - self.time)
         self.work += share * (work - self.work)
 
     def pace(self) -> float:
         return self.time / self.work if self.work else 0.0
 
+    def late(self) -> float:
+        """Longer than nearly all of late; without samples, nothing is."""
+        return self.time + 4.0 * self.spread if self.count > 2 else float("inf")
+
+
+@dataclass(slots=True)
+class Pause:
+    """A time for which a server is left out; each further one in a row is twice as long."""
+
+    until: int = 0
+    span: int = 0
+
 
 @dataclass(slots=True)
 class Entry:
@@ -132,20 +147,19 @@
     streams_then: int = 0  # own streams when the report came
     work_then: float = 0.0  # own tokens to read when the report came
     waiting: dict[str, int] = field(default_factory=dict)  # own attempts not yet begun: sent when
+    surplus: float = 1.0  # streams that its cell's readers bring it, over the mean, if none leaves
     work_out: float = 0.0  # tokens to read in own attempts out
     states: int = 0  # own read states that wait here
     streams: int = 0  # own requests writing or streaming here, places included
-    strikes: float = 0.0
-    ejected_until: int = 0
-    span: int = EJECT_FIRST
-    trials: int = 0  # good outcomes still wanted before the server counts as sound
-    lost: bool = False  # it could not be reached: it may come back cold and empty
+    ejected: Pause = field(default_factory=Pause)
+    paused: dict[int, Pause] = field(default_factory=dict)  # by class, ALL for every class: it was full
+    late: int = 0  # attempts called off in a row
+    on_trial: bool = False  # left out of late: one attempt at a time until a good outcome
+    took: dict[int, int] = field(default_factory=dict)  # by class: its last good outcome
     good_at: int = 0
     pace: float = 0.0  # smoothed latency: of a read for each token queued, of a writer's first token
     samples: int = 0  # of the pace
-    full_until: int = 0
     cold_until: int = 0
-    cold_sends: deque[int] = field(default_factory=deque)
 
 
 @dataclass(slots=True)
@@ -154,6 +168,7 @@
 
     name: str
     cls: api.RequestClass
+    class_index: int
     over_share: bool  # its tenant has used up its quota here
     session: str
     beginning: str | None
@@ -161,13 +176,17 @@
     prompt: int
     arrived: int
     deadline: int
+    homes: int = 1  # readers among which its beginning is spread
     phase: Phase = Phase.HELD
     attempts: int = 0
     server: str = ""  # where the attempt out is
     sent: int = 0
+    due: float = 0.0  # when the attempt out is late
     writing: bool = False  # the attempt out may answer, so it counts as a stream there
     work: float = 0.0  # tokens it has to read there
     queue: float = 1.0  # those, and those of this router's attempts before it
+    detour: bool = False  # sent where it would not have gone by itself
+    expected: float = 0.0  # time to the first token as last estimated, as a share of the aim
     credit: int = 0  # tokens a proven entry promised at the send
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
@@ -177,9 +196,18 @@
     ran_on: str = ""  # first server where it may have run
     ran_at: int = 0
 
-    def aim(self) -> float:
+    def time_left(self, now: int) -> float:
+        """Until the answer is wanted, or, once that has passed, until the client leaves."""
+        wanted = self.arrived + self.wanted_in()
+        return (wanted if now < wanted else self.deadline) - now
+
+    def wanted_in(self) -> float:
         return self.cls.first_token_aim + self.cls.aim_per_1000_tokens * self.prompt / 1000.0
 
+    def aim(self) -> float:
+        """Time from the arrival in which an answer is wanted and its client still there."""
+        return min(self.wanted_in(), float(self.deadline - self.arrived))
+
 
 class Router:
     """One node's decisions: feed events to :meth:`handle`, carry out what it returns."""
@@ -193,9 +221,13 @@
         self.servers: dict[str, Server] = {}
         self.requests: dict[str, Request] = {}
         self.held: dict[str, None] = {}
+        self.out: dict[str, None] = {}  # requests whose attempt has not begun
+        self.pools: dict[Role, list[Server]] = {role: [] for role in Role}  # servers up
+        self.recent: deque[str | None] = deque(maxlen=RECENT)  # beginnings of the last requests
+        self.interval = Stat()  # time between own arrivals
+        self.credit = CREDIT_MOST  # late attempts that may be called off
         self.latency = {role: Stat() for role in Role}
         self.prompt_work = Stat()  # tokens to read of one request
-        self.good: dict[Role, deque[int]] = {role: deque() for role in Role}  # outcomes of warm servers
         self.allowance: dict[int, tuple[float, int]] = {}  # requests left within a tenant's quota, and when
         self.subscribe_at = 0
         self.timer_set = False
@@ -204,9 +236,6 @@
         """Take one event; the actions are to be carried out in order."""
         self.now = max(now, self.now)
         self.actions = []
-        if not self.timer_set:
-            self.timer_set = True
-            self.actions.append(api.SetTimer(0, SWEEP))
         if isinstance(event, api.RequestArrived):
             self._arrived(event)
         elif isinstance(event, api.AttemptEnded):
@@ -214,6 +243,7 @@
         elif isinstance(event, api.FirstToken):
             self._first_token(event)
         elif isinstance(event, api.TimerFired):
+            self.timer_set = False
             self._sweep()
         elif isinstance(event, api.ServerList):
             self._server_list(event)
@@ -224,13 +254,17 @@
                 self._end(request)
             elif isinstance(event, api.PlaceAnswer) and request.place == event.server and not event.held:
                 self._drop_place(request)
+        if not self.timer_set and (self.held or self.out or self.subscribe_at):
+            self.timer_set = True
+            self.actions.append(api.SetTimer(0, SWEEP))
         return self.actions
 
     # The server list.
 
     def _server_list(self, event: api.ServerList) -> None:
         if event.kind in (ListKind.SAVED, ListKind.FAILED):
-            self.subscribe_at = self.now + SECOND * (event.kind is ListKind.FAILED)
+            again = self.now + SECOND * (event.kind is ListKind.FAILED)
+            self.subscribe_at = again if self.settings.list_on_request else 0
         listed = {entry.server for entry in event.entries}
         for entry in event.entries:
             if not 0 <= entry.kind < len(self.settings.kinds):
@@ -240,6 +274,16 @@
             if event.kind in (ListKind.SAVED, ListKind.FULL) and server.name not in listed:
                 server.state = ServerState.REMOVED
         self._forget_servers()
+        self._fill_pools()
+
+    def _fill_pools(self) -> None:
+        """The servers up by role, and what follows from their number in each cell."""
+        for role, pool in self.pools.items():
+            pool[:] = [s for s in self.servers.values() if s.role is role and s.state is ServerState.UP]
+        readers, writers = self.pools[Role.READER], self.pools[Role.WRITER]
+        reads, writes = Counter(s.cell for s in readers), Counter(s.cell for s in writers)
+        for s in writers:
+            s.surplus = reads[s.cell] / max(len(readers), 1) * len(writers) / writes[s.cell]
 
     def _listed(self, entry: api.ServerEntry) -> None:
         server = self.servers.get(entry.server)
@@ -267,180 +311,200 @@
 
     # Scores of the reader choice, each within [0, 1].
 
+    def _keys(self, request: Request) -> Iterator[tuple[str, int]]:
+        """A prompt's keys in the prefix table, with the tokens each covers.
+
+        A beginning has one key a home, so that a popular one does not bury one reader."""
+        if request.beginning is not None:
+            home = crc32(request.session.encode()) % request.homes
+            yield f"beginning {home} {request.beginning}", request.beginning_tokens
+        if request.session:
+            yield "session " + request.session, request.prompt
+
     def _covered(self, server: Server, request: Request, proven: bool = False) -> int:
         """Longest covered length held there for this prompt, in tokens (only what a read proved)."""
         held = server.table.entries
-        return max((min(held[key].tokens, tokens) for key, tokens in request_keys(request)
+        return max((min(held[key].tokens, tokens) for key, tokens in self._keys(request)
                     if key in held and (held[key].proven or not proven)), default=0)
 
-    def _report(self, server: Server) -> api.LoadReport | None:
-        fresh = server.report is not None and self.now - server.report_at <= REPORT_AGE
-        return server.report if fresh else None
+    def _weigh(self, heard: list[tuple[Server, float | None]]) -> dict[str, float]:
+        """Each server's distance from the mean of those heard, less as its report ages; unheard ones at 0."""
+        known = [value for _, value in heard if value is not None]
+        mean = sum(known) / max(len(known), 1)
+        return {s.name: 0.0 if value is None else (value - mean) * self._freshness(s) for s, value in heard}
+
+    def _freshness(self, server: Server) -> float:
+        if self.settings.report_source is api.ReportSource.NONE:
+            return 1.0
+        return float(0.5 ** ((self.now - server.report_at) / REPORT_HALF))
 
     def _read_load(self, server: Server) -> float | None:
         """Tokens to be read there: reported and own change since; own sends out where none report."""
         if self.settings.report_source is api.ReportSource.NONE:
             return server.work_out / server.weight
-        if (report := self._report(server)) is None:
+        if (report := server.report) is None:
             return None
         requests = (report.in_flight or 0.0) * self.prompt_work.pace()
         reported = requests if report.waiting_tokens is None else report.waiting_tokens
         return max(server.work_out, reported + server.work_out - server.work_then) / server.weight
 
-    def _scores(self, request: Request, servers: list[Server]) -> dict[str, float]:
+    def _scores(self, request: Request, servers: list[Server], covered: dict[str, int]) -> dict[str, float]:
         """Weighted sum of the three scores for each server."""
         relative: dict[str, float] = {}
         for role in Role:
-            heard = {s.name: self._read_load(s) for s in servers if s.role is role}
-            loads = [load for load in heard.values() if load is not None]
-            mean = sum(loads) / max(len(loads), 1)
-            for name, load in heard.items():
-                relative[name] = (mean if load is None else load) - mean
+            relative |= self._weigh([(s, self._read_load(s)) for s in servers if s.role is role])
         low, high = min(relative.values()), max(relative.values())
-        # Exception (tiny spread): below one request's reading it is noise, not stretched to the full range.
-        spread = max(high - low, self.prompt_work.pace(), 1.0)
-        shares = {s.name: r.memory_share for s in servers
-                  if (r := self._report(s)) is not None and r.memory_share is not None}
-        mean_share = sum(shares.values()) / max(len(shares), 1)
-        most_states = max(1, max(s.states for s in servers))
+        # Exception (tiny spread): below a few requests' reading it is noise, not stretched to the full range.
+        spread = max(high - low, NOISE * self.prompt_work.pace(), 1.0)
+        shares = [(s, s.report.memory_share if s.report else None) for s in servers]
+        known = [share for _, share in shares if share is not None]
+        mean_share = sum(known) / max(len(known), 1)
+        used = self._weigh(shares)
+        most_states = max(NOISE, max(s.states for s in servers))
         result = {}
         for s in servers:
-            prefix = self._covered(s, request) / max(request.prompt, 1)
             idle = 1.0 - (relative[s.name] - low) / spread
-            used = shares.get(s.name, mean_share) if shares else s.states / most_states
-            result[s.name] = (WEIGHT_PREFIX * clamp(prefix) + WEIGHT_LOAD * clamp(idle)
-                              + WEIGHT_MEMORY * clamp(1.0 - used)) / WEIGHTS
+            memory = mean_share + used[s.name] if known else s.states / most_states
+            result[s.name] = (WEIGHT_PREFIX * clamp(covered[s.name] / max(request.prompt, 1))
+                              + WEIGHT_LOAD * clamp(idle) + WEIGHT_MEMORY * clamp(1.0 - memory)) / WEIGHTS
         return result
 
     # The choices.
 
     def _choose_reader(self, request: Request) -> Server | None:
-        readers = [s for s in self.servers.values() if s.role is not Role.WRITER]
-        whole = list(self.servers.values()) if self.settings.writers_read else []
-        servers = self._usable(readers, request) or self._usable(whole, request)
+        """The reader with the highest score, unless the answer would come too late from any."""
+        whole = self.pools[Role.WRITER] if self.settings.writers_read else []
+        servers = (self._usable(self.pools[Role.READER] + self.pools[Role.MIXED], request)
+                   or self._usable(whole, request))
         if not servers:
             return None
         # Exception (pile-up): a reader whose queue takes much of the aim does not compete while another's
         # does not; kept prefixes would draw ever more to it.
-        expected = {s.name: self._expected(request, s) for s in servers}
+        covered = {s.name: self._covered(s, request) for s in servers}
+        scores = self._scores(request, servers, covered)
+        wait = self._writers_wait() + self.now - request.arrived
+        aim = request.aim()
+        expected = {s.name: (self._read_time(request, s, covered[s.name]) + wait) / aim for s in servers}
+        first = self._best_reader(request, servers, scores, covered)
         for share in (CROWDED, ADMIT):
-            if min(expected.values()) <= share:
+            if expected[first.name] > share and min(expected.values()) <= share:
                 servers = [s for s in servers if expected[s.name] <= share]
                 break
-        scores = self._scores(request, servers)
+        best = self._best_reader(request, servers, scores, covered)
+        request.expected = expected[best.name]
+        key = next((key for key, _ in self._keys(request)), request.name)
+        request.detour = best is not max(self.pools[best.role], key=lambda s: spread_hash(key, s.name))
+        return best
+
+    def _best_reader(self, request: Request, servers: list[Server], scores: dict[str, float],
+                     covered: dict[str, int]) -> Server:
+        if not any(covered[s.name] for s in servers):
+            # Exception (unknown key): no own table holds it, so what scores about the same is a tie for the
+            # hash of the key alone, and routers that share nothing send it to one reader.
+            least = max(scores[s.name] for s in servers) - NEAR
+            key = next((key for key, _ in self._keys(request)), request.name)
+            near = [s for s in servers if scores[s.name] >= least]
+            return max(near, key=lambda s: spread_hash(key, s.name))
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
     def _choose_writer(self, request: Request, cell: int | None) -> Server | None:
-        writers = [s for s in self.servers.values() if s.role is Role.WRITER]
-        mixed = [s for s in self.servers.values() if s.role is Role.MIXED]
-        servers = self._usable(writers, request) or self._usable(mixed, request)
+        servers = (self._usable(self.pools[Role.WRITER], request)
+                   or self._usable(self.pools[Role.MIXED], request))
         if not servers:
             return None
         # Exception (full memory): where own requests wait for a first token, long prompts fill the memory
         # unseen in the count of streams.  Covers slow and hung writers; could move a state out of its cell.
         servers = [s for s in servers if not s.waiting
                    or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
-        heard = {s.name: self._streams(s) for s in servers}
-        known = [streams for streams in heard.values() if streams is not None]
-        mean = sum(known) / len(known) if known else 0.0
+        streams = self._weigh([(s, self._streams(s)) for s in servers])
+        known = [value for s in servers if (value := self._streams(s)) is not None]
+        mean = sum(known) / max(len(known), 1)
 
         def load(server: Server) -> tuple[float, int]:
-            streams = heard[server.name]
-            if streams is None:
-                streams = mean if known else server.streams / server.weight
-            return (streams, -self._tie(server, request))
-
+            return (streams[server.name], -self._tie(server, request))
+
+        # Exception (lopsided cell): a cell with more than its share of the readers would bring its writers
+        # well over the mean, long before one router's own counts tell; that much of its requests goes to
+        # cells with less than their share.  Could load links for nothing where cells differ in speed.
+        draw = spread_hash(request.name, "cell")
+        near = [s for s in servers if s.cell == cell and s.surplus * draw <= LEAVE_FACTOR]
+        if not near:
+            servers = [s for s in servers if spread_hash(request.name, s.name) < 1.0 - s.surplus] or servers
         best = min(servers, key=load)
-        near = min((s for s in servers if s.cell == cell), key=load, default=best)
-        return near if load(near)[0] <= mean * LEAVE_FACTOR + LEAVE_STREAMS else best
+        best_near = min(near, key=load, default=best)
+        leave = streams[best_near.name] > mean * (LEAVE_FACTOR - 1.0) + LEAVE_STREAMS
+        return best if leave else best_near
 
     def _streams(self, server: Server) -> float | None:
         """Streams at a writer: reported and own change since; our own where none report."""
         if self.settings.report_source is api.ReportSource.NONE:
             return server.streams / server.weight
-        if (report := self._report(server)) is None or report.in_flight is None:
+        if (report := server.report) is None or report.in_flight is None:
             return None
         return max(server.streams, report.in_flight + server.streams - server.streams_then) / server.weight
 
-    def _tie(self, server: Server, request: Request) -> int:
-        return crc32(f"{self.settings.router}/{request.session or request.name}/{server.name}".encode())
+    def _tie(self, server: Server, request: Request) -> float:
+        return spread_hash(f"{self.settings.router}/{request.session or request.name}", server.name)
 
     # Health: who may be chosen at all.
 
     def _usable(self, servers: list[Server], request: Request) -> list[Server]:
         """Sound servers; failing that, any that is up and can bear a send."""
-        able = [s for s in servers if s.state is ServerState.UP and s.full_until <= self.now
-                and self._cold_room(s) and self._may_repeat(request, s)]
-        sound = [s for s in able if s.ejected_until <= self.now and not self._silent(s)
-                 and not (s.trials and s.waiting)]
+        cold = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share / max(len(servers), 1)
+        # A cold server stands to choice for the few requests whose hash falls into its share of all: this
+        # holds for all routers together, however many, since each leaves as much to it.
+        able = [s for s in servers if s.state is ServerState.UP and not self._paused(s, request)
+                and (s.cold_until <= self.now or spread_hash(request.name, s.name) < cold)
+                and self._may_repeat(request, s)]
+        sound = [s for s in able if s.ejected.until <= self.now and not (s.on_trial and s.waiting)]
         group = sound or able
-        return [s for s in group if s.name not in request.failed] or group
-
-    def _silent(self, server: Server) -> bool:
-        """An attempt has waited far longer than such attempts do, and nothing came since it left."""
-        oldest = min(server.waiting.values(), default=self.now)
-        patience = max(QUIET_WORST * self.latency[server.role].worst, float(QUIET_LEAST))
-        return server.good_at < oldest and self.now - oldest > patience
-
-    def _cold_room(self, server: Server) -> bool:
-        """Whether a cold server may be sent one more request by this router alone.
-
-        The budget is what a warm server of the role did for this router in a window (so each router
-        counts its own share) times the multiple and the share of capacity that a start has."""
-        if server.cold_until <= self.now:
-            return True
-        peers = sum(1 for s in self.servers.values() if s.role is server.role
-                    and s.state is ServerState.UP and s.cold_until <= self.now)
-        carried = self._in_window(self.good[server.role]) / max(peers, 1)
-        budget = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share * carried
-        return self._in_window(server.cold_sends) + 1 <= max(1.0, budget)
-
-    def _in_window(self, times: deque[int]) -> int:
-        while times and times[0] <= self.now - self.settings.cold_window:
-            times.popleft()
-        return len(times)
+        if not request.failed and not any(request.class_index in s.paused for s in servers):
+            return group
+        group = [s for s in group if s.name not in request.failed] or group
+        # A further attempt has no time to find out, and while a class is held back none has: they go where
+        # the class was served of late.
+        least = self.now - PROVEN_FOR
+        return [s for s in group if s.took.get(request.class_index, least) > least] or group
+
+    def _paused(self, server: Server, request: Request) -> bool:
+        return any(server.paused[key].until > self.now for key in (ALL, request.class_index)
+                   if key in server.paused)
+
+    def _pause(self, pause: Pause, role: Role) -> None:
+        """Leave out for the time in which this router would come by twice; longer after each failure."""
+        visit = 2.0 * self.interval.time * len(self.pools[role])
+        pause.span = int(min(max(pause.span * 2, visit, PAUSE_LEAST), PAUSE_MOST))
+        pause.until = self.now + pause.span
 
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
         pace = elapsed / request.queue  # reads: for each token that stood before them and in them
         server.samples += 1
         server.pace += max(SMOOTH, 1.0 / server.samples) * (pace - server.pace)
+        if self.now <= request.due:
+            self.credit = min(CREDIT_MOST, self.credit + CREDIT_EACH)
         stat.add(float(elapsed), request.queue, self.now)
-        server.good_at = self.now
-        server.strikes /= 2
-        if server.cold_until <= self.now:
-            self.good[server.role].append(self.now)
-            self._in_window(self.good[server.role])
-        if server.lost:
-            # Back after it could not be reached: most likely restarted, so cold until told more.
-            server.lost = False
-            server.cold_until = max(server.cold_until, self.now + self.settings.warm_within)
-        server.trials = max(0, server.trials - 1)
-        if not server.trials:
-            server.span = EJECT_FIRST
-
-    def _strike(self, server: Server, outcome: Outcome) -> None:
-        server.strikes += 1.0
-        if outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
-            # Exception (crash): its process is gone and what it kept with it.
-            server.table, server.report = PrefixTable(server.table.limit), None
-            server.lost = True
-        elif not server.trials and server.strikes < STRIKES_OUT:
-            return
-        self._eject(server, outcome.value)
+        server.good_at = server.took[request.class_index] = self.now
+        server.paused.pop(request.class_index, None)
+        server.paused.pop(ALL, None)
+        server.on_trial, server.ejected.span, server.late = False, 0, 0
 
     def _eject(self, server: Server, reason: str) -> None:
         """Leave a server out for a while, then try it with single requests; a third of a role at most."""
-        peers = [s for s in self.servers.values() if s.role is server.role and s.state is ServerState.UP]
-        out = sum(1 for s in peers if s.ejected_until > self.now)
-        if server.ejected_until > self.now or out + 1 > max(len(peers) // 3, min(1, len(peers) - 1)):
+        peers = self.pools[server.role]
+        out = sum(1 for s in peers if s.ejected.until > self.now)
+        if server.ejected.until > self.now or out + 1 > max(len(peers) // 3, min(1, len(peers) - 1)):
             return
-        server.ejected_until = self.now + server.span
-        server.span = min(server.span * 2, EJECT_MOST)
-        server.trials = TRIALS
-        server.strikes = 0.0
+        self._pause(server.ejected, server.role)
+        server.on_trial = True
         self.actions.append(api.Log(f"server {server.name} left out: {reason}"))
 
+    def _strike(self, server: Server, outcome: Outcome) -> None:
+        if outcome is Outcome.CONNECT_FAILED:
+            # Exception (crash): its process is gone and what it kept with it.
+            server.table, server.report = PrefixTable(server.table.limit), None
+        self._eject(server, outcome.value)
+
     def _probe_ended(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.server)
         if server is not None and event.outcome is Outcome.SERVED:
@@ -458,10 +522,18 @@
     def _arrived(self, event: api.RequestArrived) -> None:
         if not 0 <= event.class_index < len(self.settings.classes):
             raise ValueError(f"request {event.request}: unknown class {event.class_index}")
+        if self.interval.at:
+            self.interval.add(float(self.now - self.interval.at), 1.0)
+        self.interval.at = self.now
         request = Request(
-            event.request, self.settings.classes[event.class_index], self._over_share(event.tenant),
+            event.request, self.settings.classes[event.class_index], event.class_index,
+            self._over_share(event.tenant),
             event.session, event.shared_beginning, min(event.shared_tokens, event.prompt_tokens),
             event.prompt_tokens, self.now, self.now + event.time_left)
+        self.recent.append(request.beginning)
+        share = max(self.recent.count(request.beginning) / RECENT, 1.0 / READERS_PER_HOME)
+        while request.homes * 2 <= share * len(self.pools[Role.READER]):
+            request.homes *= 2
         self.requests[request.name] = request
         self._advance(request)
 
@@ -470,8 +542,9 @@
         if not 0 <= tenant < len(self.settings.tenants):
             return False
         rate = self.settings.tenants[tenant].quota_per_second / self.settings.routers / SECOND
-        left, at = self.allowance.get(tenant, (rate * QUOTA_SPAN, self.now))
-        left = min(left + rate * (self.now - at), rate * QUOTA_SPAN)
+        most = rate * QUOTA_SPAN + 2.0  # chance brings a few together, however small the rate
+        left, at = self.allowance.get(tenant, (most, self.now))
+        left = min(left + rate * (self.now - at), most)
         self.allowance[tenant] = (left - (left >= 1.0), self.now)
         return rate > 0.0 and left < 1.0
 
@@ -498,7 +571,7 @@
                 request.phase = Phase.HELD
         else:
             server = self._choose_reader(request)
-            if server is not None and self._too_late(request, server):
+            if server is not None and self._too_late(request):
                 return self._give_up(request)
             if server is not None:
                 reading = server.role is Role.READER
@@ -508,33 +581,32 @@
         self.held[request.name] = None
         return None
 
-    def _expected(self, request: Request, server: Server) -> float:
-        """Expected time to the first token, from the arrival, as a share of the aim."""
-        if (read := self.latency[server.role]).count < 10:
+    def _read_time(self, request: Request, server: Server, covered: int) -> float:
+        """Expected time of a read there, behind this router's own."""
+        if (read := self.latency[server.role]).count < 3:
             return 0.0
         # A reader's own pace tells of other routers' work there; it fades to the role's.
-        pace = read.recent(self.now)
+        pace = read.recent(self.now, self.interval.time)
         if server.samples:
-            pace += (server.pace - pace) * 0.5 ** ((self.now - server.good_at) / SECOND)
-        work = max(request.prompt - self._covered(server, request), BLOCK)
-        queued = server.work_out + work + self.prompt_work.pace()
-        # Writers are also judged by who waits there now: their first tokens tell of it too late.
-        writers = [s for s in self.servers.values() if s.role is Role.WRITER and s.state is ServerState.UP]
-        ages = [self.now - min(s.waiting.values()) for s in writers if s.waiting]
-        write_wait = max(self.latency[Role.WRITER].recent(self.now), sum(ages) / max(len(writers), 1))
-        return float(pace * queued + write_wait + self.now - request.arrived) / request.aim()
-
-    def _too_late(self, request: Request, server: Server) -> bool:
+            pace += (server.pace - pace) * float(0.5 ** ((self.now - server.good_at) / SECOND))
+        return pace * (server.work_out + max(request.prompt - covered, BLOCK) + self.prompt_work.pace())
+
+    def _writers_wait(self) -> float:
+        """Writers are also judged by who waits there now: their first tokens tell of it too late."""
+        ages = [self.now - min(s.waiting.values()) for s in self.pools[Role.WRITER] if s.waiting]
+        return max(self.latency[Role.WRITER].recent(self.now, self.interval.time),
+                   sum(ages) / max(len(self.pools[Role.WRITER]), 1))
+
+    def _too_late(self, request: Request) -> bool:
         """Whether the answer is expected so late that the work had better go to others."""
         best = max(cls.worth for cls in self.settings.classes)
         worth = request.cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
         share = ADMIT_LOW + (ADMIT - ADMIT_LOW) * worth / best
-        return self._may_refuse(request) and self._expected(request, server) > share
+        return self._may_refuse(request) and request.expected > share
 
     def _reads_whole(self) -> bool:
         """Whether some server up takes a request whole, in one attempt."""
-        return any(s.state is ServerState.UP and (s.role is Role.MIXED or (
-            s.role is Role.WRITER and self.settings.writers_read)) for s in self.servers.values())
+        return bool(self.pools[Role.MIXED] or (self.settings.writers_read and self.pools[Role.WRITER]))
 
     def _hold_place(self, request: Request, cell: int) -> None:
         writer = self._choose_writer(request, cell) if self.settings.may_hold_place else None
@@ -571,17 +643,18 @@
             request.work = float(max(request.prompt - self._covered(server, request), BLOCK))
             self.prompt_work.add(request.work, 1.0)
             request.credit = self._covered(server, request, proven=True)
-            for key, tokens in request_keys(request):
-                server.table.learn(key, tokens, self.now)
+            # A detour teaches no new home of a beginning: after an upset every reader would read them all.
+            for key, tokens in self._keys(request):
+                if not request.detour or tokens == request.prompt or key in server.table.entries:
+                    server.table.learn(key, tokens, self.now)
             server.work_out += request.work
         fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
         request.queue = server.work_out + fixed if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
-        if server.cold_until > self.now:
-            server.cold_sends.append(self.now)
-        # No time-out of its own: work called off is done twice.  _call_off ends what a silent server has.
+        request.due = self.now + max(self.latency[server.role].late(), PATIENCE * request.time_left(self.now))
+        self.out[request.name] = None
         self.actions.append(api.Send(request.name, server.name, request.deadline - self.now))
 
     def _first_token(self, event: api.FirstToken) -> None:
@@ -589,6 +662,7 @@
         if request is None or request.attempts != event.attempt or server is None:
             return
         server.waiting.pop(request.name, None)
+        self.out.pop(request.name, None)
         self._good(server, request, event.elapsed)
         if request.phase is not Phase.ENDED:
             request.phase = Phase.STREAMING
@@ -602,6 +676,7 @@
         if request is None or request.attempts != event.attempt or not request.server:
             return
         request.attempts += 1
+        self.out.pop(request.name, None)
         ended = event.finished or request.phase is Phase.ENDED
         if server is not None:
             self._settle(request, server, event)
@@ -617,7 +692,9 @@
             self._release(request)
         elif event.outcome not in (Outcome.SERVED, Outcome.NOT_SENT):
             request.failed += (event.server,)
-        if ended or not request.reader:
+        # The state of an answer that was lost is gone: with attempts left for no more, it is read anew.
+        last_two = event.outcome is Outcome.CANCELLED and self.settings.max_attempts - request.attempts == 2
+        if ended or not request.reader or last_two:
             self._release(request)
         if ended:
             self._forget(request)
@@ -639,15 +716,20 @@
             if request.credit >= 4 * BLOCK and event.kept_tokens < request.credit // 2:
                 for key in [k for k, e in server.table.entries.items() if e.sent < request.sent]:
                     server.table.drop(key)
-            for key, _ in request_keys(request):
+            for key, _ in self._keys(request):
                 if key in server.table.entries:
                     server.table.entries[key].proven = True
         elif outcome is Outcome.SERVED:
             server.good_at = self.now
         elif outcome is Outcome.FULL and not event.state_missing:
-            server.full_until = self.now + FULL_PAUSE
+            # A server out of room says so at once to all; one that holds a class back takes its time.
+            key = request.class_index if event.elapsed > SLOW_FULL * request.aim() else ALL
+            self._pause(server.paused.setdefault(key, Pause()), server.role)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             self._strike(server, outcome)
+        elif outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
+            # It would have taken longer still: without this a jam that answers nobody looks quick.
+            self.latency[server.role].add(float(event.elapsed), request.queue, self.now)
 
     def _end(self, request: Request) -> None:
         """The request is answered or its client gone; nothing new goes out for it."""
@@ -690,33 +772,35 @@
                 api.Scope.CELL: server.cell == first.cell}[request.cls.scope]
 
 
-    def _call_off(self, server: Server) -> None:
-        """A silent server (hung, cut off, dead): leave it out and take back what it has not begun."""
-        server.lost = True
-        self._eject(server, "silent")
-        for name in [n for n, sent in server.waiting.items() if sent > server.good_at]:
-            request = self.requests[name]
-            again = request.cls.effect is Effect.SAFE or not request.writing
-            if (again and request.phase is not Phase.ENDED and self.settings.may_cancel
-                    and request.attempts + 2 < self.settings.max_attempts):
-                del server.waiting[name]
-                self.actions.append(api.Cancel(name, request.attempts))
+    def _call_off(self, request: Request, server: Server) -> None:
+        """An attempt is late: take it back while there is time for another.
+
+        Covers hung and silent servers and answers that are lost.  In an overload all are late: calls off
+        are paid for by timely outcomes, so that work is not doubled then."""
+        request.due = self.now + PATIENCE * request.time_left(self.now)
+        again = request.cls.effect is Effect.SAFE or not request.writing
+        steps = 1 if request.reader or request.writing and not request.work else 2
+        if not (again and self.settings.may_cancel and self.credit >= 1.0
+                and request.attempts + 1 + steps <= self.settings.max_attempts):
+            return
+        self.credit -= 1.0
+        request.due = float("inf")
+        self.actions.append(api.Cancel(request.name, request.attempts))
+        server.late += 1
+        if server.late > 1:
+            self._eject(server, "silent")
 
     def _sweep(self) -> None:
-        self.actions.append(api.SetTimer(0, SWEEP))
-        if self.subscribe_at and self.subscribe_at <= self.now and self.settings.list_on_request:
+        if self.subscribe_at and self.subscribe_at <= self.now:
             self.subscribe_at = 0
             self.actions.append(api.Subscribe())
-        for server in [s for s in self.servers.values() if self._silent(s)]:
-            self._call_off(server)
+        for name in list(self.out):
+            request = self.requests[name]
+            server = self.servers.get(request.server)
+            if request.phase is not Phase.ENDED and server is not None and request.due <= self.now:
+                self._call_off(request, server)
         for name in list(self.held):
             self._advance(self.requests[name])
-        if self.settings.report_source is api.ReportSource.PROBES and self.settings.may_probe:
-            for server in self.servers.values():
-                if server.state is ServerState.UP and self.now - server.report_at > PROBE_EVERY:
-                    server.report_at = self.now - PROBE_EVERY // 2 if server.report is None else self.now
-                    self.actions.append(api.Probe(server.name))
-                    break
 
 
 def clamp(value: float) -> float:
@@ -724,12 +808,11 @@
     return min(1.0, max(0.0, value))
 
 
-def request_keys(request: Request) -> Iterable[tuple[str, int]]:
-    """A prompt's keys in the prefix table, with the tokens each covers."""
-    if request.beginning is not None:
-        yield "beginning " + request.beginning, request.beginning_tokens
-    if request.session:
-        yield "session " + request.session, request.prompt
+def spread_hash(key: str, name: str) -> float:
+    """A stable number in [0, 1) for a pair, as if drawn at random."""
+    mixed = crc32(f"{name}/{key}".encode())
+    mixed = (mixed ^ mixed >> 15) * 0x2C1B3C6D & 0xFFFFFFFF  # a plain crc of like texts is not independent
+    return (mixed ^ mixed >> 13) / (1 << 32)
 
 
 def check_settings(settings: api.Settings) -> None:
