--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -225,6 +225,7 @@
         self.pools: dict[Role, list[Server]] = {role: [] for role in Role}  # servers up
         self.recent: deque[str | None] = deque(maxlen=RECENT)  # beginnings of the last requests
         self.interval = Stat()  # time between own arrivals
+        self.held_back: dict[int, tuple[int, int]] = {}  # by class: refused as by a limit since, and last
         self.credit = CREDIT_MOST  # late attempts that may be called off
         self.latency = {role: Stat() for role in Role}
         self.prompt_work = Stat()  # tokens to read of one request
@@ -327,11 +328,13 @@
         return max((min(held[key].tokens, tokens) for key, tokens in self._keys(request)
                     if key in held and (held[key].proven or not proven)), default=0)
 
-    def _weigh(self, heard: list[tuple[Server, float | None]]) -> dict[str, float]:
-        """Each server's distance from the mean of those heard, less as its report ages; unheard ones at 0."""
+    def _weigh(self, heard: list[tuple[Server, float | None]]) -> tuple[dict[str, float], float]:
+        """Each server's value, drawn to the mean of those heard as its report ages, unheard ones at the mean;
+        and that mean."""
         known = [value for _, value in heard if value is not None]
         mean = sum(known) / max(len(known), 1)
-        return {s.name: 0.0 if value is None else (value - mean) * self._freshness(s) for s, value in heard}
+        return {s.name: mean if value is None else mean + (value - mean) * self._freshness(s)
+                for s, value in heard}, mean
 
     def _freshness(self, server: Server) -> float:
         if self.settings.report_source is api.ReportSource.NONE:
@@ -352,19 +355,19 @@
         """Weighted sum of the three scores for each server."""
         relative: dict[str, float] = {}
         for role in Role:
-            relative |= self._weigh([(s, self._read_load(s)) for s in servers if s.role is role])
+            loads, mean = self._weigh([(s, self._read_load(s)) for s in servers if s.role is role])
+            relative |= {name: load - mean for name, load in loads.items()}
         low, high = min(relative.values()), max(relative.values())
         # Exception (tiny spread): below a few requests' reading it is noise, not stretched to the full range.
         spread = max(high - low, NOISE * self.prompt_work.pace(), 1.0)
         shares = [(s, s.report.memory_share if s.report else None) for s in servers]
-        known = [share for _, share in shares if share is not None]
-        mean_share = sum(known) / max(len(known), 1)
-        used = self._weigh(shares)
+        reported = any(share is not None for _, share in shares)
+        used, _ = self._weigh(shares)
         most_states = max(NOISE, max(s.states for s in servers))
         result = {}
         for s in servers:
             idle = 1.0 - (relative[s.name] - low) / spread
-            memory = mean_share + used[s.name] if known else s.states / most_states
+            memory = used[s.name] if reported else s.states / most_states
             result[s.name] = (WEIGHT_PREFIX * clamp(covered[s.name] / max(request.prompt, 1))
                               + WEIGHT_LOAD * clamp(idle) + WEIGHT_MEMORY * clamp(1.0 - memory)) / WEIGHTS
         return result
@@ -384,7 +387,8 @@
         scores = self._scores(request, servers, covered)
         wait = self._writers_wait() + self.now - request.arrived
         aim = request.aim()
-        expected = {s.name: (self._read_time(request, s, covered[s.name]) + wait) / aim for s in servers}
+        work = {s.name: s.work_out + max(request.prompt - covered[s.name], BLOCK) for s in servers}
+        expected = {s.name: (wait + self._read_time(s, work[s.name])) / aim for s in servers}
         first = self._best_reader(request, servers, scores, covered)
         for share in (CROWDED, ADMIT):
             if expected[first.name] > share and min(expected.values()) <= share:
@@ -416,9 +420,7 @@
         # unseen in the count of streams.  Covers slow and hung writers; could move a state out of its cell.
         servers = [s for s in servers if not s.waiting
                    or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
-        streams = self._weigh([(s, self._streams(s)) for s in servers])
-        known = [value for s in servers if (value := self._streams(s)) is not None]
-        mean = sum(known) / max(len(known), 1)
+        streams, mean = self._weigh([(s, self._streams(s)) for s in servers])
 
         def load(server: Server) -> tuple[float, int]:
             return (streams[server.name], -self._tie(server, request))
@@ -432,7 +434,7 @@
             servers = [s for s in servers if spread_hash(request.name, s.name) < 1.0 - s.surplus] or servers
         best = min(servers, key=load)
         best_near = min(near, key=load, default=best)
-        leave = streams[best_near.name] > mean * (LEAVE_FACTOR - 1.0) + LEAVE_STREAMS
+        leave = streams[best_near.name] > mean * LEAVE_FACTOR + LEAVE_STREAMS
         return best if leave else best_near
 
     def _streams(self, server: Server) -> float | None:
@@ -458,12 +460,14 @@
                 and self._may_repeat(request, s)]
         sound = [s for s in able if s.ejected.until <= self.now and not (s.on_trial and s.waiting)]
         group = sound or able
-        if not request.failed and not any(request.class_index in s.paused for s in servers):
+        began, last = self.held_back.get(request.class_index, (0, 0))
+        held_back = last > self.now - PROVEN_FOR
+        if not request.failed and not (held_back and (request.reader or request.phase is Phase.READING)):
             return group
         group = [s for s in group if s.name not in request.failed] or group
-        # A further attempt has no time to find out, and while a class is held back none has: they go where
-        # the class was served of late.
-        least = self.now - PROVEN_FOR
+        # A further attempt has no time to find out, nor has a writer's while its class is held back: they go
+        # where the class was served of late, or since that began.
+        least = began if held_back else self.now - PROVEN_FOR
         return [s for s in group if s.took.get(request.class_index, least) > least] or group
 
     def _paused(self, server: Server, request: Request) -> bool:
@@ -581,15 +585,15 @@
         self.held[request.name] = None
         return None
 
-    def _read_time(self, request: Request, server: Server, covered: int) -> float:
-        """Expected time of a read there, behind this router's own."""
+    def _read_time(self, server: Server, tokens: float) -> float:
+        """Expected time until so many tokens, a read's own among them, are read there."""
         if (read := self.latency[server.role]).count < 3:
             return 0.0
         # A reader's own pace tells of other routers' work there; it fades to the role's.
         pace = read.recent(self.now, self.interval.time)
         if server.samples:
             pace += (server.pace - pace) * float(0.5 ** ((self.now - server.good_at) / SECOND))
-        return pace * (server.work_out + max(request.prompt - covered, BLOCK) + self.prompt_work.pace())
+        return pace * (tokens + self.prompt_work.pace())
 
     def _writers_wait(self) -> float:
         """Writers are also judged by who waits there now: their first tokens tell of it too late."""
@@ -724,6 +728,9 @@
         elif outcome is Outcome.FULL and not event.state_missing:
             # A server out of room says so at once to all; one that holds a class back takes its time.
             key = request.class_index if event.elapsed > SLOW_FULL * request.aim() else ALL
+            if key != ALL:
+                began, last = self.held_back.get(key, (0, 0))
+                self.held_back[key] = (began if last > self.now - PROVEN_FOR else self.now, self.now)
             self._pause(server.paused.setdefault(key, Pause()), server.role)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             self._strike(server, outcome)
