--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -462,12 +462,12 @@
         group = sound or able
         began, last = self.held_back.get(request.class_index, (0, 0))
         held_back = last > self.now - PROVEN_FOR
-        if not request.failed and not (held_back and (request.reader or request.phase is Phase.READING)):
+        if not request.failed and not held_back:
             return group
         group = [s for s in group if s.name not in request.failed] or group
-        # A further attempt has no time to find out, nor has a writer's while its class is held back: they go
-        # where the class was served of late, or since that began.
-        least = began if held_back else self.now - PROVEN_FOR
+        # A further attempt has no time to find out: it goes where its class was served of late, or since
+        # the class is held back.
+        least = began if held_back and request.failed else self.now - PROVEN_FOR
         return [s for s in group if s.took.get(request.class_index, least) > least] or group
 
     def _paused(self, server: Server, request: Request) -> bool:
