--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict, deque
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 from zlib import crc32
@@ -102,11 +101,10 @@
 
 @dataclass(slots=True)
 class Entry:
-    """Tokens of one key that a reader should hold, when sent, and whether a read has ended since."""
+    """Tokens of one key that a reader should hold, and when they were sent there."""
 
     tokens: int
     sent: int
-    proven: bool = False
 
 
 class PrefixTable:
@@ -158,7 +156,6 @@
     took: dict[int, int] = field(default_factory=dict)  # by class: its last good outcome
     good_at: int = 0
     pace: float = 0.0  # smoothed latency: of a read for each token queued, of a writer's first token
-    samples: int = 0  # of the pace
     cold_until: int = 0
 
 
@@ -171,12 +168,10 @@
     class_index: int
     over_share: bool  # its tenant has used up its quota here
     session: str
-    beginning: str | None
-    beginning_tokens: int
+    keys: tuple[tuple[str, int], ...]  # of the prefix table, with the tokens each covers, widest shared first
     prompt: int
     arrived: int
     deadline: int
-    homes: int = 1  # readers among which its beginning is spread
     phase: Phase = Phase.HELD
     attempts: int = 0
     server: str = ""  # where the attempt out is
@@ -185,9 +180,8 @@
     writing: bool = False  # the attempt out may answer, so it counts as a stream there
     work: float = 0.0  # tokens it has to read there
     queue: float = 1.0  # those, and those of this router's attempts before it
-    detour: bool = False  # sent where it would not have gone by itself
     expected: float = 0.0  # time to the first token as last estimated, as a share of the aim
-    credit: int = 0  # tokens a proven entry promised at the send
+    credit: int = 0  # tokens that the table promised at the send
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
@@ -312,21 +306,10 @@
 
     # Scores of the reader choice, each within [0, 1].
 
-    def _keys(self, request: Request) -> Iterator[tuple[str, int]]:
-        """A prompt's keys in the prefix table, with the tokens each covers.
-
-        A beginning has one key a home, so that a popular one does not bury one reader."""
-        if request.beginning is not None:
-            home = crc32(request.session.encode()) % request.homes
-            yield f"beginning {home} {request.beginning}", request.beginning_tokens
-        if request.session:
-            yield "session " + request.session, request.prompt
-
-    def _covered(self, server: Server, request: Request, proven: bool = False) -> int:
-        """Longest covered length held there for this prompt, in tokens (only what a read proved)."""
+    def _covered(self, server: Server, request: Request) -> int:
+        """Longest covered length held there for this prompt, in tokens."""
         held = server.table.entries
-        return max((min(held[key].tokens, tokens) for key, tokens in self._keys(request)
-                    if key in held and (held[key].proven or not proven)), default=0)
+        return max((min(held[key].tokens, tokens) for key, tokens in request.keys if key in held), default=0)
 
     def _weigh(self, heard: list[tuple[Server, float | None]]) -> tuple[dict[str, float], float]:
         """Each server's value, drawn to the mean of those heard as its report ages, unheard ones at the mean;
@@ -390,14 +373,10 @@
         work = {s.name: s.work_out + max(request.prompt - covered[s.name], BLOCK) for s in servers}
         expected = {s.name: (wait + self._read_time(s, work[s.name])) / aim for s in servers}
         first = self._best_reader(request, servers, scores, covered)
-        for share in (CROWDED, ADMIT):
-            if expected[first.name] > share and min(expected.values()) <= share:
-                servers = [s for s in servers if expected[s.name] <= share]
-                break
+        if expected[first.name] > CROWDED:
+            servers = [s for s in servers if expected[s.name] <= CROWDED] or servers
         best = self._best_reader(request, servers, scores, covered)
         request.expected = expected[best.name]
-        key = next((key for key, _ in self._keys(request)), request.name)
-        request.detour = best is not max(self.pools[best.role], key=lambda s: spread_hash(key, s.name))
         return best
 
     def _best_reader(self, request: Request, servers: list[Server], scores: dict[str, float],
@@ -406,9 +385,8 @@
             # Exception (unknown key): no own table holds it, so what scores about the same is a tie for the
             # hash of the key alone, and routers that share nothing send it to one reader.
             least = max(scores[s.name] for s in servers) - NEAR
-            key = next((key for key, _ in self._keys(request)), request.name)
             near = [s for s in servers if scores[s.name] >= least]
-            return max(near, key=lambda s: spread_hash(key, s.name))
+            return max(near, key=lambda s: spread_hash(request.keys[0][0], s.name))
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
     def _choose_writer(self, request: Request, cell: int | None) -> Server | None:
@@ -422,7 +400,7 @@
                    or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
         streams, mean = self._weigh([(s, self._streams(s)) for s in servers])
 
-        def load(server: Server) -> tuple[float, int]:
+        def load(server: Server) -> tuple[float, float]:
             return (streams[server.name], -self._tie(server, request))
 
         # Exception (lopsided cell): a cell with more than its share of the readers would bring its writers
@@ -483,8 +461,7 @@
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
         stat = self.latency[server.role]
         pace = elapsed / request.queue  # reads: for each token that stood before them and in them
-        server.samples += 1
-        server.pace += max(SMOOTH, 1.0 / server.samples) * (pace - server.pace)
+        server.pace += (SMOOTH if server.pace else 1.0) * (pace - server.pace)
         if self.now <= request.due:
             self.credit = min(CREDIT_MOST, self.credit + CREDIT_EACH)
         stat.add(float(elapsed), request.queue, self.now)
@@ -529,15 +506,20 @@
         if self.interval.at:
             self.interval.add(float(self.now - self.interval.at), 1.0)
         self.interval.at = self.now
+        keys = [(f"session {event.session}", event.prompt_tokens)] if event.session else []
+        if event.shared_beginning is not None:
+            # A beginning has one key for each of its homes, so that a popular one does not bury one reader.
+            self.recent.append(event.shared_beginning)
+            share = max(self.recent.count(event.shared_beginning) / RECENT, 1.0 / READERS_PER_HOME)
+            homes = 1
+            while homes * 2 <= share * len(self.pools[Role.READER]):
+                homes *= 2
+            home = crc32(event.session.encode()) % homes
+            keys.insert(0, (f"beginning {home} {event.shared_beginning}", event.shared_tokens))
         request = Request(
             event.request, self.settings.classes[event.class_index], event.class_index,
-            self._over_share(event.tenant),
-            event.session, event.shared_beginning, min(event.shared_tokens, event.prompt_tokens),
+            self._over_share(event.tenant), event.session, tuple(keys or [(event.request, 0)]),
             event.prompt_tokens, self.now, self.now + event.time_left)
-        self.recent.append(request.beginning)
-        share = max(self.recent.count(request.beginning) / RECENT, 1.0 / READERS_PER_HOME)
-        while request.homes * 2 <= share * len(self.pools[Role.READER]):
-            request.homes *= 2
         self.requests[request.name] = request
         self._advance(request)
 
@@ -591,7 +573,7 @@
             return 0.0
         # A reader's own pace tells of other routers' work there; it fades to the role's.
         pace = read.recent(self.now, self.interval.time)
-        if server.samples:
+        if server.pace:
             pace += (server.pace - pace) * float(0.5 ** ((self.now - server.good_at) / SECOND))
         return pace * (tokens + self.prompt_work.pace())
 
@@ -644,13 +626,11 @@
         server.waiting[request.name] = self.now
         request.work = 0.0
         if phase is Phase.READING or not request.reader:
-            request.work = float(max(request.prompt - self._covered(server, request), BLOCK))
+            request.credit = self._covered(server, request)
+            request.work = float(max(request.prompt - request.credit, BLOCK))
             self.prompt_work.add(request.work, 1.0)
-            request.credit = self._covered(server, request, proven=True)
-            # A detour teaches no new home of a beginning: after an upset every reader would read them all.
-            for key, tokens in self._keys(request):
-                if not request.detour or tokens == request.prompt or key in server.table.entries:
-                    server.table.learn(key, tokens, self.now)
+            for key, tokens in request.keys:
+                server.table.learn(key, min(tokens, request.prompt), self.now)
             server.work_out += request.work
         fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
         request.queue = server.work_out + fixed if request.work else len(server.waiting)
@@ -720,18 +700,13 @@
             if request.credit >= 4 * BLOCK and event.kept_tokens < request.credit // 2:
                 for key in [k for k, e in server.table.entries.items() if e.sent < request.sent]:
                     server.table.drop(key)
-            for key, _ in self._keys(request):
-                if key in server.table.entries:
-                    server.table.entries[key].proven = True
-        elif outcome is Outcome.SERVED:
-            server.good_at = self.now
         elif outcome is Outcome.FULL and not event.state_missing:
             # A server out of room says so at once to all; one that holds a class back takes its time.
-            key = request.class_index if event.elapsed > SLOW_FULL * request.aim() else ALL
-            if key != ALL:
-                began, last = self.held_back.get(key, (0, 0))
-                self.held_back[key] = (began if last > self.now - PROVEN_FOR else self.now, self.now)
-            self._pause(server.paused.setdefault(key, Pause()), server.role)
+            held = request.class_index if event.elapsed > SLOW_FULL * request.aim() else ALL
+            if held != ALL:
+                began, last = self.held_back.get(held, (0, 0))
+                self.held_back[held] = (began if last > self.now - PROVEN_FOR else self.now, self.now)
+            self._pause(server.paused.setdefault(held, Pause()), server.role)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             self._strike(server, outcome)
         elif outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
