--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -32,7 +32,8 @@
 ANSWER_MARGIN = 60 * MS  # a held request is given up this long before its client leaves
 RELEASE_SHARE = 0.7  # of the time allowed for holding a state with no attempt out
 PATIENCE = 0.5  # share of the time left, to the aim or then the end, in which no attempt is called late
-CREDIT_EACH, CREDIT_MOST = 0.25, 3.0  # calls off that a timely outcome allows, and the most saved up
+QUICK = 0.15  # share of the aim within which an outcome tells that nothing is jammed;
+CREDIT_EACH, CREDIT_MOST = 0.3, 3.0  # it allows so many calls off, with so many saved up
 
 CROWDED = 0.4  # share of the aim from which a reader is passed over for one that takes less
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
@@ -462,7 +463,7 @@
         stat = self.latency[server.role]
         pace = elapsed / request.queue  # reads: for each token that stood before them and in them
         server.pace += (SMOOTH if server.pace else 1.0) * (pace - server.pace)
-        if self.now <= request.due:
+        if elapsed <= QUICK * request.wanted_in():
             self.credit = min(CREDIT_MOST, self.credit + CREDIT_EACH)
         stat.add(float(elapsed), request.queue, self.now)
         server.good_at = server.took[request.class_index] = self.now
