--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -145,6 +145,7 @@
     late: int = 0  # attempts called off in a row
     took: dict[int, int] = field(default_factory=dict)  # by class: its last good outcome
     good_at: int = 0
+    answered: int = 0  # when the attempt last sent of those with a good outcome was sent
     pace: float = 0.0  # smoothed latency: of a read for each token queued, of a writer's first token
     cold_until: int = 0
 
@@ -440,6 +441,7 @@
             self.credit = min(CREDIT_MOST, self.credit + CREDIT_EACH)
         stat.add(float(elapsed), request.queue, self.now)
         server.good_at = server.took[request.class_index] = self.now
+        server.answered = max(server.answered, request.sent)
         server.paused.pop(request.class_index, None)
         server.paused.pop(ALL, None)
         server.ejected.span, server.late = 0, 0
@@ -721,8 +723,9 @@
         self._set_due(request, server)
         again = request.cls.effect is Effect.SAFE or not request.writing
         steps = 1 if request.reader or request.writing and not request.work else 2
-        if not (again and self.settings.may_cancel and self.credit >= 1.0
-                and request.attempts + 1 + steps <= self.settings.max_attempts):
+        moves = server.answered < request.sent <= server.good_at  # what was sent before it still comes
+        if moves or not (again and self.settings.may_cancel and self.credit >= 1.0
+                         and request.attempts + 1 + steps <= self.settings.max_attempts):
             return
         self.credit -= 1.0
         request.due = float("inf")
