--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -37,7 +37,6 @@
 CROWDED = 0.4  # share of the aim from which a reader is passed over for one that takes less
 ADMIT, ADMIT_LOW = 0.9, 0.5  # share of the aim that the expected wait may take: full worth, none
 
-# Ours: health.
 PAUSE_LEAST, PAUSE_MOST = 300 * MS, 16 * SECOND  # how long a server that failed is left out
 SLOW_FULL = 0.05  # a refusal as full that took more of the aim is meant for the class alone
 PROVEN_FOR = 20 * SECOND  # so long a good outcome recommends a server to a further attempt
@@ -53,9 +52,8 @@
 class Phase(Enum):
     """A request's life.  What is held and the timer that saves it stand beside each state."""
 
-    HELD = "held"  # nothing; the sweep
+    HELD = "held"  # nothing, or a state; the sweep ends it, or releases the state, in time
     READING = "reading"  # an attempt at a reader, perhaps a place; the attempt's time limit
-    READ = "read"  # a state; the sweep releases it in time
     WRITING = "writing"  # an attempt at a writer and a state; the attempt's time limit
     STREAMING = "streaming"  # the client's stream; the stream's end
     ENDED = "ended"  # answered, an attempt still out; that attempt's outcome
@@ -72,8 +70,8 @@
     at: int = 0  # when last added to
 
     def recent(self, now: int, gap: float = 0.0) -> float:
-        """The pace, halved in each time of its own length without a sample: refusals give none."""
-        return self.pace() * float(0.5 ** max(0.0, (now - self.at - gap) / max(SECOND, self.time) - 0.5))
+        """The pace, halved for each second past the usual gap without a sample: refusals give none."""
+        return self.pace() * float(0.5 ** max(0.0, (now - self.at - gap) / SECOND - 0.5))
 
     def add(self, time: float, work: float, now: int = 0) -> None:
         self.at = now
@@ -86,9 +84,6 @@
     def pace(self) -> float:
         return self.time / self.work if self.work else 0.0
 
-    def late(self) -> float:
-        return self.time + 4.0 * self.spread  # longer than nearly all
-
 
 @dataclass(slots=True)
 class Pause:
@@ -125,11 +120,11 @@
 
     name: str
     role: Role
-    zone: int
-    cell: int
-    weight: float
-    started: int
     table: PrefixTable
+    zone: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    started: int = 0
     state: ServerState = ServerState.UP
     report: api.LoadReport | None = None
     report_at: int = 0
@@ -140,8 +135,7 @@
     work_out: float = 0.0  # tokens to read in own attempts out
     states: int = 0  # own read states that wait here
     streams: int = 0  # own requests writing or streaming here, places included
-    ejected: Pause = field(default_factory=Pause)
-    paused: dict[int, Pause] = field(default_factory=dict)  # by class, ALL for every class: it was full
+    paused: dict[int, Pause] = field(default_factory=dict)  # by class, ALL for every class
     late: int = 0  # attempts called off in a row
     took: dict[int, int] = field(default_factory=dict)  # by class: its last good outcome
     good_at: int = 0
@@ -176,7 +170,7 @@
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
-    stands_since: int = 0  # when the state came to wait with no attempt out
+    stands_since: int = 0  # when the last attempt ended: a state waits with none out since
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
     ran_on: str = ""  # first server where it may have run
     ran_at: int = 0
@@ -187,11 +181,10 @@
 
 
 class Router:
-    """One node's decisions: feed events to :meth:`handle`, carry out what it returns."""
+    """One node's decisions: feed events to :meth:`handle`, carry out what it returns.  Draws nothing."""
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
-        self.seed = seed  # nothing is drawn at random today
         self.now = 0
         self.actions: list[api.Action] = []
         self.servers: dict[str, Server] = {}
@@ -254,10 +247,6 @@
         for gone in [s for s in self.servers.values() if s.state is ServerState.REMOVED]:
             if not (gone.waiting or gone.streams or gone.states):
                 del self.servers[gone.name]
-        self._fill_pools()
-
-    def _fill_pools(self) -> None:
-        """The servers up by role, and what follows from their number in each cell."""
         for role, pool in self.pools.items():
             pool[:] = [s for s in self.servers.values() if s.role is role and s.state is ServerState.UP]
         readers, writers = self.pools[Role.READER], self.pools[Role.WRITER]
@@ -273,9 +262,7 @@
             return
         if server is None:
             blocks = min(TABLE_BLOCKS, kind.memory_tokens // BLOCK or TABLE_BLOCKS)
-            server = Server(entry.server, kind.role, entry.zone, entry.cell, entry.weight, entry.started,
-                            PrefixTable(blocks))
-            self.servers[entry.server] = server
+            server = self.servers[entry.server] = Server(entry.server, kind.role, PrefixTable(blocks))
         elif entry.started != server.started and entry.state is ServerState.UP:
             # A restart: nothing that was kept there is left, and the server is cold.
             server.table, server.report = PrefixTable(server.table.limit), None
@@ -346,9 +333,8 @@
         covered = {s.name: self._covered(s, request) for s in servers}
         scores = self._scores(request, servers, covered)
         wait = self._writers_wait() + self.now - request.arrived
-        aim = request.aim()
         work = {s.name: s.work_out + max(request.prompt - covered[s.name], BLOCK) for s in servers}
-        expected = {s.name: (wait + self._read_time(s, work[s.name])) / aim for s in servers}
+        expected = {s.name: (wait + self._read_time(s, work[s.name])) / request.aim() for s in servers}
         first = self._best_reader(request, servers, scores, covered)
         if expected[first.name] > CROWDED:
             servers = [s for s in servers if expected[s.name] <= CROWDED] or servers
@@ -406,15 +392,14 @@
     # Health: who may be chosen at all.
 
     def _usable(self, servers: list[Server], request: Request) -> list[Server]:
-        """Sound servers; failing that, any that is up and can bear a send."""
+        """Servers that are up and may be sent this request."""
         cold = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share / max(len(servers), 1)
         # A cold server stands to choice for the few requests whose hash falls into its share of all: this
         # holds for all routers together, however many, since each leaves as much to it.
-        able = [s for s in servers if s.state is ServerState.UP and not self._paused(s, request)
-                and (s.cold_until <= self.now or spread_hash(request.name, s.name) < cold)
-                and self._may_repeat(request, s)]
-        sound = [s for s in able if s.ejected.until <= self.now]
-        group = sound or able
+        group = [s for s in servers if s.state is ServerState.UP
+                 and not self._paused(s, ALL) and not self._paused(s, request.class_index)
+                 and (s.cold_until <= self.now or spread_hash(request.name, s.name) < cold)
+                 and self._may_repeat(request, s)]
         least = self.now - PROVEN_FOR
         if not request.failed and self.held_back.get(request.class_index, least) <= least:
             return group
@@ -423,13 +408,13 @@
         # goes where the class was served of late.
         return [s for s in group if s.took.get(request.class_index, least) > least] or group
 
-    def _paused(self, server: Server, request: Request) -> bool:
-        return any(server.paused[key].until > self.now for key in (ALL, request.class_index)
-                   if key in server.paused)
+    def _paused(self, server: Server, key: int) -> bool:
+        return key in server.paused and server.paused[key].until > self.now
 
-    def _pause(self, pause: Pause, role: Role) -> None:
+    def _pause(self, server: Server, key: int) -> None:
         """Leave out for the time in which this router would come by twice; longer after each failure."""
-        visit = 2.0 * self.interval * len(self.pools[role])
+        pause = server.paused.setdefault(key, Pause())
+        visit = 2.0 * self.interval * len(self.pools[server.role])
         pause.span = int(min(max(pause.span * 2, visit, PAUSE_LEAST), PAUSE_MOST))
         pause.until = self.now + pause.span
 
@@ -442,18 +427,18 @@
         stat.add(float(elapsed), request.queue, self.now)
         server.good_at = server.took[request.class_index] = self.now
         server.answered = max(server.answered, request.sent)
-        server.paused.pop(request.class_index, None)
-        server.paused.pop(ALL, None)
-        server.ejected.span, server.late = 0, 0
+        server.late = 0
+        for key in (ALL, request.class_index):
+            if not self._paused(server, key):
+                server.paused.pop(key, None)
 
     def _eject(self, server: Server, reason: str) -> None:
         """Leave a server out for a while; a third of a role at most."""
         peers = self.pools[server.role]
-        out = sum(1 for s in peers if s.ejected.until > self.now)
-        if server.ejected.until > self.now or out + 1 > max(len(peers) // 3, min(1, len(peers) - 1)):
-            return
-        self._pause(server.ejected, server.role)
-        self.actions.append(api.Log(f"server {server.name} left out: {reason}"))
+        out = sum(self._paused(s, ALL) for s in peers)
+        if not self._paused(server, ALL) and out < max(len(peers) // 3, min(1, len(peers) - 1)):
+            self._pause(server, ALL)
+            self.actions.append(api.Log(f"server {server.name} left out: {reason}"))
 
     def _probe_ended(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.server)
@@ -512,11 +497,8 @@
             writer = place[0] if place else self._choose_writer(request, reader.cell if reader else None)
             if writer is not None:
                 return self._send(request, writer, Phase.WRITING)
-            if request.phase is not Phase.READ:
-                request.phase, request.stands_since = Phase.READ, self.now
             if self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
                 self._release(request)
-                request.phase = Phase.HELD
         else:
             server = self._choose_reader(request)
             worth = request.cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
@@ -527,7 +509,7 @@
                 reading = server.role is Role.READER
                 self._send(request, server, Phase.READING if reading else Phase.WRITING)
                 return self._look_ahead(request, server.cell) if reading else None
-            request.phase = Phase.HELD
+        request.phase = Phase.HELD
         self.held[request.name] = None
         return None
 
@@ -568,13 +550,10 @@
         if request.holds:
             self.actions.append(api.Release(request.name))
             request.holds = False
-        self._drop_state(request)
-        self._drop_place(request)
-
-    def _drop_state(self, request: Request) -> None:
         if (reader := self.servers.get(request.reader)) is not None:
             reader.states -= 1
         request.reader = ""
+        self._drop_place(request)
 
     def _send(self, request: Request, server: Server, phase: Phase) -> None:
         self.held.pop(request.name, None)
@@ -601,7 +580,8 @@
         """An attempt is late past a share of the time left, until it is wanted or then the client leaves."""
         left = request.arrived + request.wanted - self.now
         left = left if left > 0.0 else request.deadline - self.now
-        request.due = self.now + max(self.latency[server.role].late(), PATIENCE * left)
+        usual = self.latency[server.role].time + 4.0 * self.latency[server.role].spread  # of nearly all
+        request.due = self.now + max(usual, PATIENCE * left)
 
     def _first_token(self, event: api.FirstToken) -> None:
         request, server = self.requests.get(event.request), self.servers.get(event.server)
@@ -612,8 +592,8 @@
         self._good(server, request, event.elapsed)
         if request.phase is not Phase.ENDED:
             request.phase = Phase.STREAMING
-        request.holds = False
-        self._drop_state(request)
+        request.holds = False  # with the first token all that was held goes by itself
+        self._release(request)
 
     def _attempt_ended(self, event: api.AttemptEnded) -> None:
         server = self.servers.get(event.server)
@@ -621,7 +601,7 @@
         request = self.requests.get(event.request)
         if request is None or request.attempts != event.attempt or not request.server:
             return
-        request.attempts += 1
+        request.attempts, request.stands_since = request.attempts + 1, self.now
         self.out.pop(request.name, None)
         ended = event.finished or request.phase is Phase.ENDED
         if server is not None:
@@ -668,7 +648,7 @@
             held = request.class_index if event.elapsed > SLOW_FULL * request.aim() else ALL
             if held != ALL:
                 self.held_back[held] = self.now
-            self._pause(server.paused.setdefault(held, Pause()), server.role)
+            self._pause(server, held)
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.CONNECT_FAILED):
             if outcome is Outcome.CONNECT_FAILED:
                 # Exception (crash): its process is gone and what it kept with it.
@@ -691,8 +671,8 @@
 
     def _give_up(self, request: Request) -> None:
         after = min(self.settings.max_retry_after, SECOND // 2) if self.settings.may_advise_retry else 0
-        refuse = self._may_refuse(request)
-        self.actions.append(api.Refuse(request.name, after) if refuse else api.Fail(request.name))
+        answer = api.Refuse(request.name, after) if self._may_refuse(request) else api.Fail(request.name)
+        self.actions.append(answer)
         self._end(request)
 
     # Effects.
