--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -394,15 +394,15 @@
     def _usable(self, servers: list[Server], request: Request) -> list[Server]:
         """Servers that are up and may be sent this request."""
         cold = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share / max(len(servers), 1)
-        # A cold server stands to choice for the few requests whose hash falls into its share of all: this
-        # holds for all routers together, however many, since each leaves as much to it.
+        # A cold server is sent the few requests whose hash falls into its share of all: this holds for all
+        # routers together, however many, since each leaves as much to it.
         group = [s for s in servers if s.state is ServerState.UP
                  and not self._paused(s, ALL) and not self._paused(s, request.class_index)
                  and (s.cold_until <= self.now or spread_hash(request.name, s.name) < cold)
                  and self._may_repeat(request, s)]
         least = self.now - PROVEN_FOR
         if not request.failed and self.held_back.get(request.class_index, least) <= least:
-            return group
+            return [s for s in group if s.cold_until > self.now] or group
         group = [s for s in group if s.name not in request.failed] or group
         # A further attempt has no time to find out, nor has any while its class is held back somewhere: it
         # goes where the class was served of late.
