--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import io
+import json
 import re
 from pathlib import Path
 
@@ -29,3 +30,13 @@
     named = {name for page in pages for name in re.findall(r"`([0-9a-f]{8})`", page.read_text())}
     assert len(named) > 10
     assert not named - journal
+
+
+def test_each_figure_in_the_readme_is_the_one_its_snapshot_holds() -> None:
+    text = (ROOT / "README.md").read_text()
+    rows = re.findall(r"^\| ([a-z-]+) \| ([0-9.]+) \| `([0-9a-f]{8})` \|$", text, re.M)
+    assert len(rows) == 6
+    for site, figure, name in rows:
+        (path,) = (ROOT / "journal").glob(f"*-{name}.json")
+        entry = json.loads(path.read_text())
+        assert entry["site"] == site and f"{entry['score']:.3f}" == figure, name
