--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -7,7 +7,19 @@
 import pytest
 
 from stonetrack import api
-from stonetrack.logic import ALL, BLOCK, CREDIT_MOST, MS, PAUSE_MOST, SECOND, PrefixTable, Router, Stat
+from stonetrack.logic import (
+    ALL,
+    BLOCK,
+    COLD_SAFETY,
+    CREDIT_MOST,
+    MS,
+    PAUSE_MOST,
+    SECOND,
+    PrefixTable,
+    Router,
+    Stat,
+    spread_hash,
+)
 from tests.bed import FLEET, MIXED, READER, SETTINGS, WRITER, Bed, entry, of, only
 
 TWO_READERS = (entry("r0", READER), entry("r1", READER), entry("w0", WRITER), entry("w1", WRITER))
@@ -530,3 +542,29 @@
         send = only(bed.ask("q1", session="s"), api.Send)
         bed.end(send, outcome, 0)
         assert len(bed.router.servers[send.server].table.entries) == left
+
+
+def test_a_cold_server_is_sent_the_requests_of_its_share() -> None:
+    """And no others: also a request whose home is elsewhere goes there if its hash falls into the share."""
+    share = COLD_SAFETY * SETTINGS.cold_multiple * SETTINGS.cold_share / 4
+    names = [f"q{n}" for n in range(80)]
+    inside = {name for name in names if spread_hash(name, "r0") < share}
+    sent = set()
+    for name in names:
+        bed = Bed()
+        bed.give(api.ServerList(api.ListKind.CHANGES, 2, (entry("r0", READER, started=bed.now),)))
+        if only(bed.ask(name), api.Send).server == "r0":
+            sent.add(name)
+    assert len(inside) > 2 and sent == inside
+
+
+def test_while_a_class_is_held_back_first_attempts_go_where_it_was_served() -> None:
+    fleet = (*(entry(f"r{n}", READER) for n in range(9)), entry("w0", WRITER))
+    for elapsed, spread in ((1 * MS, True), (300 * MS, False)):
+        bed = Bed(fleet=fleet)
+        served = bed.whole("first")
+        send = next(send for n in range(20)
+                    if (send := only(bed.ask(f"q{n}"), api.Send)).server != served)
+        bed.end(send, api.Outcome.FULL, 0, elapsed=elapsed)
+        later = {only(bed.ask(f"later{n}"), api.Send).server for n in range(12)}
+        assert (len(later) > 1) == spread
