--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# make demo: try it.  make test: all that CI runs.
+PYTHON ?= python3
+PORT ?= 8080
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test install install-dev lint types size pytest
+demo: install
+	exec $(BIN)/stonetrack demo --port $(PORT)
+
+test: install-dev lint types size pytest
+
+install: $(VENV)/.installed
+install-dev: $(VENV)/.installed-dev
+
+$(VENV)/bin/python:
+	$(PYTHON) -m venv $(VENV)
+
+$(VENV)/.installed: pyproject.toml | $(VENV)/bin/python
+	$(BIN)/python -m pip -q install -e '.[node]'
+	touch $@
+
+$(VENV)/.installed-dev: pyproject.toml requirements-dev.txt | $(VENV)/bin/python
+	$(BIN)/python -m pip -q install -e '.[node]' -r requirements-dev.txt
+	touch $@ $(VENV)/.installed
+
+lint: install-dev
+	$(BIN)/ruff check .
+
+types: install-dev
+	$(BIN)/mypy
+
+size: install-dev
+	$(BIN)/python tests/size.py
+
+pytest: install-dev
+	$(BIN)/python -m pytest
--- a/stonetrack/__init__.py
+++ b/stonetrack/__init__.py
@@ -1,6 +1,6 @@
-"""stonetrack: the decisions of a front for readers and writers of a model service."""
+"""stonetrack: a router between readers and writers of a model service; the decisions are in :mod:`.logic`."""
 
 from stonetrack.logic import Router
 
 __all__ = ["Router"]
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- /dev/null
+++ b/stonetrack/cli/main.py
@@ -0,0 +1,25 @@
+"""All commands."""
+
+from __future__ import annotations
+
+import click
+
+from stonetrack import __version__
+from stonetrack.cli import serving, trying
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(__version__, prog_name="stonetrack")
+def main() -> None:
+    """A router for language-model serving: readers (prefill) and writers (decode) behind one chat API."""
+
+
+for command in (
+    serving.serve,
+    serving.check,
+    serving.hash_key,
+    serving.instance,
+    trying.standin,
+    trying.demo,
+):
+    main.add_command(command)
--- /dev/null
+++ b/stonetrack/cli/serving.py
@@ -0,0 +1,147 @@
+"""Commands that run the node: serve, check, hash-key, and instance (started by serve)."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+
+import click
+import msgspec
+
+from stonetrack.settings import Node, SettingsError, load, parse
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+def variables(pairs: tuple[str, ...]) -> dict[str, str]:
+    """Jsonnet variables from NAME=VALUE pairs."""
+    made = {}
+    for pair in pairs:
+        name, equals, value = pair.partition("=")
+        if not equals or not name:
+            raise click.BadParameter(f"{pair!r}; allowed: NAME=VALUE", param_hint="--var")
+        made[name] = value
+    return made
+
+
+VAR = click.option("--var", "var", multiple=True, metavar="NAME=VALUE", help="A Jsonnet variable (std.extVar).")
+
+
+def load_or_exit(path: Path, var: dict[str, str]) -> Node:
+    """The settings, or their errors on standard error and exit code 2."""
+    try:
+        return load(path, var)
+    except SettingsError as error:
+        for problem in error.problems:
+            click.echo(f"{error.where}: {problem}", err=True)
+        sys.exit(2)
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@VAR
+@click.option("--show", is_flag=True, help="Print the settings as they are in force, defaults included.")
+def check(file: Path, var: tuple[str, ...], show: bool) -> None:
+    """Evaluate and check a settings file."""
+    settings = load_or_exit(file, variables(var))
+    if show:
+        click.echo(msgspec.json.format(msgspec.json.encode(settings), indent=2).decode())
+    else:
+        click.echo(
+            f"{file}: good: {len(settings.models)} models, {len(settings.classes)} classes, "
+            f"{len(settings.kinds)} kinds, {len(settings.tenants)} tenants"
+        )
+
+
+@click.command("hash-key")
+@click.argument("key", required=False)
+def hash_key(key: str | None) -> None:
+    """Print the hash of an API key for the settings (asks for the key where none is given)."""
+    from stonetrack.fronts.auth import key_hash
+
+    click.echo(key_hash(key or click.prompt("key", hide_input=True, err=True)))
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@VAR
+@click.option("--instances", type=click.IntRange(1, 256), default=1, show_default=True, help="Processes on the port.")
+@click.option("--port", type=click.IntRange(0, 65535), help="Instead of the file's port; 0 takes a free one.")
+@click.option(
+    "--log", "log_path", type=click.Path(dir_okay=False, path_type=Path), help="JSON log; standard error by default."
+)
+def serve(file: Path, var: tuple[str, ...], instances: int, port: int | None, log_path: Path | None) -> None:
+    """Run the node until TERM; HUP reads the settings again."""
+    given = variables(var)
+    settings = load_or_exit(file, given)
+    if port is not None:
+        settings = msgspec.structs.replace(settings, listen=msgspec.structs.replace(settings.listen, port=port))
+    sys.exit(run_supervisor(file, settings, instances, log_path, given))
+
+
+def run_supervisor(
+    file: Path, settings: Node, instances: int, log_path: Path | None, given: dict[str, str], ready_text: str = ""
+) -> int:
+    """Serve until TERM; the exit code."""
+    from stonetrack.daemon.log import configure
+    from stonetrack.daemon.supervisor import Supervisor
+
+    out = open(log_path, "a", buffering=1) if log_path else None  # noqa: SIM115  (open as long as the process)
+    log = configure(settings.log_level, out)
+    try:
+        supervisor = Supervisor(file, settings, instances, log, log_path, given)
+    except OSError as error:
+        click.echo(f"can't listen on {settings.listen.host}:{settings.listen.port}: {error}", err=True)
+        return 2
+
+    def ready() -> None:
+        click.echo(f"ready {supervisor.url}")
+        if ready_text:
+            click.echo(ready_text)
+        sys.stdout.flush()
+
+    return supervisor.run(ready)
+
+
+@click.command(hidden=True)
+@click.option("--listener", type=int, required=True)
+@click.option("--lifeline", type=int, required=True)
+@click.option("--status", type=int, required=True)
+@click.option("--index", type=int, required=True)
+@click.option("--instances", type=int, required=True)
+def instance(listener: int, lifeline: int, status: int, index: int, instances: int) -> None:
+    """One instance; started by serve."""
+    from stonetrack.daemon.instance import Instance
+    from stonetrack.daemon.log import configure
+    from stonetrack.daemon.supervisor import inherited, read_settings
+
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the supervisor's affair
+    first = read_settings(lifeline)
+    if first is None:
+        sys.exit(1)
+    settings = parse(first)
+    log = configure(settings.log_level)
+    sys.setswitchinterval(0.001)
+    running = Instance(settings, inherited(listener), index=index, instances=instances, log=log, name=f"i{index}")
+    running.start()
+
+    def follow() -> None:
+        while (data := read_settings(lifeline)) is not None:
+            try:
+                running.reload(parse(data))
+            except Exception as error:  # what was checked by the supervisor; a defect must not end service
+                log.error("reload failed, nothing changed", error=f"{type(error).__name__}: {error}")
+        stop.set()  # the supervisor is gone
+
+    threading.Thread(target=follow, name="lifeline", daemon=True).start()
+    os.write(status, b"ready\n")
+    stop.wait()
+    clean = running.drain(running.settings.timing.drain_ms / 1000.0)
+    running.stop()
+    os._exit(0 if clean else 1)  # worker threads of requests that did not end are not waited for
--- /dev/null
+++ b/stonetrack/cli/trying.py
@@ -0,0 +1,100 @@
+"""Commands that try the node out: standin, demo, day."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+import msgspec
+
+from stonetrack.cli.serving import FILE, load_or_exit, run_supervisor
+
+DEMO = Path(__file__).parent / "demo.jsonnet"
+
+
+@click.command()
+@click.argument("file", type=FILE, required=False)
+@click.option("--readers", type=click.IntRange(0, 500), default=4, show_default=True)
+@click.option("--writers", type=click.IntRange(0, 500), default=4, show_default=True)
+@click.option("--mixed", type=click.IntRange(0, 500), default=0, show_default=True)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--port", type=click.IntRange(0, 65535), default=0, help="Of the list and control service.")
+@click.option("--log", "log_path", type=click.Path(dir_okay=False, path_type=Path), help="What passed on the sockets.")
+def standin(
+    file: Path | None, readers: int, writers: int, mixed: int, seed: int, port: int, log_path: Path | None
+) -> None:
+    """Host stand-ins for engines, and the service that lists them, until TERM.
+
+    FILE is a JSON or Jsonnet fleet; without one, so many readers, writers and mixed engines.
+    """
+    from stonetrack.settings import SettingsError, evaluate
+    from stonetrack.standin.host import Fleet, Host, run_process, small_fleet
+
+    try:
+        if file is not None:
+            fleet = msgspec.json.decode(evaluate(file), type=Fleet, strict=True)
+        else:
+            fleet = Fleet(engines=small_fleet(readers, writers, mixed), seed=seed)
+    except (msgspec.DecodeError, SettingsError) as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(2)
+
+    def ready(host: Host) -> None:
+        click.echo(f"ready {host.list_url}")
+        sys.stdout.flush()
+
+    run_process(fleet, log_path, port, ready)
+
+
+class StandIns:
+    """A process of stand-ins started beside a node."""
+
+    def __init__(self, arguments: list[str]) -> None:
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "stonetrack", "standin", *arguments],
+            stdout=subprocess.PIPE,
+            stdin=subprocess.DEVNULL,
+            text=True,
+        )
+        line = self.process.stdout.readline() if self.process.stdout else ""
+        if not line.startswith("ready "):
+            self.stop()
+            raise RuntimeError(f"the stand-ins did not start: {line!r}")
+        self.list_url = line.split()[1]
+
+    def stop(self) -> None:
+        """End it."""
+        self.process.terminate()
+        with contextlib.suppress(subprocess.TimeoutExpired):
+            self.process.wait(5.0)
+            return
+        self.process.kill()
+        self.process.wait()
+
+
+@click.command()
+@click.option("--port", type=click.IntRange(0, 65535), default=8080, show_default=True)
+@click.option("--instances", type=click.IntRange(1, 64), default=2, show_default=True)
+def demo(port: int, instances: int) -> None:
+    """Two instances and eight stand-ins for engines, until TERM or Ctrl-C.  Serves the model demo to any key."""
+    folder = Path(tempfile.mkdtemp(prefix="stonetrack-demo-"))
+    engines = StandIns(["--readers", "4", "--writers", "4", "--log", str(folder / "engines.log")])
+    try:
+        given = {"list_url": engines.list_url, "port": str(port), "state_dir": str(folder / "state")}
+        settings = load_or_exit(DEMO, given)
+        log_path = folder / "node.log"
+        shown = port or "PORT"
+        text = (
+            f"curl -N http://127.0.0.1:{shown}/v1/chat/completions -H 'Content-Type: application/json' "
+            """-d '{"model": "demo", "stream": true, """
+            """"messages": [{"role": "user", "content": "Where can I charge?"}]}'"""
+            f"\nlog {log_path}"
+        )
+        code = run_supervisor(DEMO, settings, instances, log_path, given, text)
+    finally:
+        engines.stop()
+    sys.exit(code)
--- /dev/null
+++ b/stonetrack/daemon/instance.py
@@ -0,0 +1,298 @@
+"""One instance: fronts, node and engines joined in one process.
+
+A reload of settings makes a new *generation*: a fresh router with the new settings and the list as it stands.
+Requests under way stay with the generation that took them until they end; the listening socket, connections and
+counters stay.  So settings change whole or not at all, and no request sees two of them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import resource
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from typing import Any
+
+from prometheus_client.metrics_core import Metric
+
+from stonetrack import __version__, api
+from stonetrack.daemon import meters
+from stonetrack.engines.client import EngineClient
+from stonetrack.engines.listing import Engine, Listing
+from stonetrack.engines.sources import ListSource
+from stonetrack.fronts.app import App, refusal
+from stonetrack.fronts.host import Host
+from stonetrack.fronts.service import Record
+from stonetrack.logic import Router
+from stonetrack.node.core import Core, Decider, unix_clock
+from stonetrack.node.drive import Bounds, Drive, Waker
+from stonetrack.node.life import Life
+from stonetrack.node.ports import Ask, Sink
+from stonetrack.settings import Node
+from stonetrack.settings.check import router_settings
+
+MS = 1_000_000
+MakeRouter = Callable[[api.Settings, int], Decider]
+
+
+def raise_limits() -> int:
+    """Take as many descriptors as the machine allows; how many."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < hard:
+        with contextlib.suppress(ValueError, OSError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+
+
+class Generation:
+    """One router with the settings it was made for."""
+
+    def __init__(
+        self,
+        settings: Node,
+        index: int,
+        instances: int,
+        name: str,
+        seed: int,
+        clock: Callable[[], int],
+        log: Callable[[str], None],
+        make_router: MakeRouter,
+    ) -> None:
+        self.settings = settings
+        router = make_router(router_settings(settings, index, instances), seed)
+        self.core = Core(router, clock, log=log, probe=self._probe)
+        self.engines = EngineClient(settings, clock, name, self.core.tell)
+        timing = settings.timing
+        self.bounds = Bounds(
+            timing.stream_silence_ms * MS, timing.client_stall_ms * MS, settings.limits.send_buffer_bytes
+        )
+        self.engines.errands.start()
+        self.core.start()
+
+    def _probe(self, server: str) -> None:
+        self.engines.probe(server)
+
+    def take_list(self, event: api.ServerList, engines: dict[str, Engine]) -> None:
+        """Addresses first: the router may send to what it is told of at once."""
+        self.engines.list_changed(engines)
+        self.core.tell(event)
+
+    def close(self, wait: float = 1.0) -> None:
+        """Stop its threads."""
+        self.core.stop()
+        self.engines.close(wait)
+
+
+class Instance:
+    """See the module; ``log`` is a structlog logger."""
+
+    def __init__(
+        self,
+        settings: Node,
+        listener: socket.socket,
+        *,
+        index: int = 0,
+        instances: int = 1,
+        name: str = "",
+        seed: int | None = None,
+        log: Any,
+        make_router: MakeRouter = Router,
+    ) -> None:
+        self.index, self.instances = index, instances
+        self.name = name or f"i{index}"
+        self._log = log
+        self._make_router = make_router
+        self._seed = int.from_bytes(os.urandom(6)) if seed is None else seed
+        self.clock = unix_clock()
+        self.started = time.monotonic()
+        self.draining = False
+        self._lock = threading.Lock()
+        self._listing = Listing(settings.kinds)
+        self._last_list: dict[str, Engine] = {}
+        self._old: list[Generation] = []
+        self._current = self._generation(settings)
+        self.outcomes: Counter[str] = Counter()
+        self.meters = meters.Meters(self._read, [c.name for c in settings.classes], [t.name for t in settings.tenants])
+        self._source = self._follow(settings)
+        self.app = App(self)
+        self.host = Host(listener, settings.limits, settings.timing, self.app.handle, refusal, self._warn)
+
+    # Putting together.
+
+    def _generation(self, settings: Node) -> Generation:
+        return Generation(
+            settings, self.index, self.instances, self.name, self._seed, self.clock, self._say, self._make_router
+        )
+
+    def _follow(self, settings: Node) -> ListSource:
+        saved = Path(settings.state_dir) / f"servers-{self.index}.json" if settings.state_dir else None
+        return ListSource(
+            settings.source,
+            self._listing,
+            self.clock,
+            instance=self.name,
+            saved=saved,
+            take=self._take_list,
+            log=self._warn,
+        )
+
+    def start(self) -> None:
+        """Follow the server list and accept clients."""
+        raise_limits()
+        threading.stack_size(self.settings.limits.stack_kib * 1024)
+        self._source.start()
+        self._source.loaded.wait(2.0)  # a node that knows no engine yet would hold its first requests
+        self.host.start()
+        self._log.info("started", instance=self.name, version=__version__, engines=len(self._last_list))
+
+    def reload(self, settings: Node) -> None:
+        """Change to new settings; what the listening socket or the limits need takes a restart."""
+        with self._lock:
+            old, same_list = self._current, settings.kinds == self.settings.kinds
+            fresh = self._generation(settings)
+            if same_list:
+                entries = self._listing.saved()
+                event = Listing(settings.kinds).take(entries, self.clock(), saved=True)
+                fresh.take_list(event, dict(self._last_list))
+            self._current = fresh
+            self._old.append(old)
+            if not same_list or settings.source != old.settings.source:
+                self._source.stop()
+                self._listing = Listing(settings.kinds)
+                self._source = self._follow(settings)
+                self._source.start()
+            self.host.timing = settings.timing
+            self.meters.names([c.name for c in settings.classes], [t.name for t in settings.tenants])
+        self._log.info("settings changed", instance=self.name)
+        self._retire()
+
+    def _retire(self) -> None:
+        """Close generations whose requests have ended."""
+        with self._lock:
+            done = [each for each in self._old if not each.core.open_requests]
+            self._old = [each for each in self._old if each.core.open_requests]
+        for each in done:
+            threading.Thread(target=each.close, daemon=True).start()
+
+    def drain(self, most: float) -> bool:
+        """Take no new client, let requests end for so many seconds; whether all did."""
+        self.draining = True
+        self._log.info("draining", instance=self.name, open=self.open_requests)
+        self.host.drain()
+        end = time.monotonic() + most
+        while self.open_requests and time.monotonic() < end:
+            time.sleep(0.02)
+        return not self.open_requests
+
+    def stop(self) -> None:
+        """End everything."""
+        self._source.stop()
+        self.host.stop()
+        for each in (*self._old, self._current):
+            each.close()
+        self._log.info("stopped", instance=self.name)
+
+    # For the fronts (``service.Service``).
+
+    @property
+    def settings(self) -> Node:
+        """The settings in force."""
+        return self._current.settings
+
+    @property
+    def core(self) -> Core:
+        """The current generation's core."""
+        return self._current.core
+
+    @property
+    def open_requests(self) -> int:
+        """Requests under way, of all generations."""
+        return sum(each.core.open_requests for each in (*self._old, self._current))
+
+    def serve(self, ask: Ask, sink: Sink, waker: Waker) -> Life:
+        """Run one request to its end."""
+        generation = self._current
+        life = Drive(generation.core, generation.engines, generation.bounds, ask, sink, waker).run()
+        if self._old:
+            self._retire()
+        return life
+
+    def health(self) -> tuple[bool, dict[str, Any]]:
+        """Whether it takes requests, and what it knows of itself."""
+        up = [line.name for line in self._listing.lines.values() if line.state is api.ServerState.UP]
+        status = "draining" if self.draining else "ok" if up else "no engines"
+        return status == "ok", {
+            "status": status,
+            "instance": self.name,
+            "version": __version__,
+            "pid": os.getpid(),
+            "uptime_seconds": round(time.monotonic() - self.started, 3),
+            "engines": len(self._listing.lines),
+            "engines_up": len(up),
+            "list_version": self._listing.version,
+            "requests": self.open_requests,
+        }
+
+    def metrics(self) -> tuple[bytes, str]:
+        """The metrics page."""
+        return self.meters.page()
+
+    def record(self, record: Record) -> None:
+        """Count a request and log it."""
+        self.meters.note(record)
+        self._log.info(
+            "request",
+            instance=self.name,
+            front=record.front,
+            request=record.request,
+            cls=self.settings.classes[record.class_index].name
+            if record.class_index < len(self.settings.classes)
+            else record.class_index,
+            tenant=record.tenant,
+            status=record.status,
+            ended=record.ended,
+            ms=round(record.took / 1e6, 2),
+            first_ms=round(record.first / 1e6, 2) if record.first >= 0 else None,
+            attempts=record.attempts,
+        )
+
+    # Inside.
+
+    def _take_list(self, event: api.ServerList, engines: dict[str, Engine]) -> None:
+        with self._lock:
+            self._last_list = engines
+            generations = [*self._old, self._current]
+        for each in generations:
+            each.take_list(event, engines)
+        self._log.info(
+            "server list", instance=self.name, kind=event.kind.value, version=event.version, engines=len(event.entries)
+        )
+
+    def _say(self, text: str) -> None:
+        self._log.info(text, instance=self.name)
+
+    def _warn(self, text: str) -> None:
+        self._log.warning(text, instance=self.name)
+
+    def _read(self) -> Iterable[Metric]:
+        current = self._current
+        pool, errands = current.engines.pool, current.engines.errands
+        yield meters.gauge("open_requests", "Requests under way", self.open_requests)
+        yield meters.gauge("connections", "Client connections", self.host.connections)
+        yield meters.gauge("workers", "Worker threads", self.host.workers)
+        yield meters.gauge("open_releases", "States and places not let go of yet", errands.open_releases)
+        yield meters.counts(
+            "refused_clients", "Clients refused before a request was taken", "why", {"limits": self.host.refused}
+        )
+        yield meters.counts(
+            "engine_connections", "Connections to engines", "how", {"opened": pool.opened, "reused": pool.reused}
+        )
+        yield meters.counts("events", "Events told to the router", "event", dict(current.core.events))
+        yield meters.counts("actions", "Actions the router decided", "action", dict(current.core.actions))
+        states = Counter(line.state.value for line in self._listing.lines.values())
+        yield meters.by("engines", "Engines in the list", "state", {k: float(v) for k, v in states.items()})
--- /dev/null
+++ b/stonetrack/daemon/meters.py
@@ -0,0 +1,99 @@
+"""What an instance counts, by prometheus-client; one registry an instance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client.metrics_core import Metric
+from prometheus_client.registry import Collector
+
+from stonetrack.fronts.service import Record
+
+SECOND = 1e9
+_FIRST = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
+
+
+class _Read(Collector):
+    """Values that are read when they are asked for."""
+
+    def __init__(self, read: Callable[[], Iterable[Metric]]) -> None:
+        self._read = read
+
+    def collect(self) -> Iterator[Metric]:
+        """The families."""
+        yield from self._read()
+
+
+class Meters:
+    """The metrics of one instance."""
+
+    def __init__(self, read: Callable[[], Iterable[Metric]], classes: list[str], tenants: list[str]) -> None:
+        self.registry = CollectorRegistry()
+        self._classes, self._tenants = classes, tenants
+        self.requests = Counter(
+            "stonetrack_requests",
+            "Requests by how they ended",
+            ["front", "class", "tenant", "ended"],
+            registry=self.registry,
+        )
+        self.attempts = Counter("stonetrack_request_attempts", "Attempts made", ["class"], registry=self.registry)
+        self.first = Histogram(
+            "stonetrack_first_token_seconds",
+            "From the request's head to the first token",
+            ["class"],
+            buckets=_FIRST,
+            registry=self.registry,
+        )
+        self.took = Histogram(
+            "stonetrack_request_seconds",
+            "From the request's head to its end",
+            ["class"],
+            buckets=(*_FIRST, 64.0, 128.0),
+            registry=self.registry,
+        )
+        self.registry.register(_Read(read))
+
+    def names(self, classes: list[str], tenants: list[str]) -> None:
+        """Take the names of new settings; what was counted stays."""
+        self._classes, self._tenants = classes, tenants
+
+    def note(self, record: Record) -> None:
+        """Count one request."""
+        name = self._name(self._classes, record.class_index)
+        self.requests.labels(record.front, name, self._name(self._tenants, record.tenant), record.ended).inc()
+        self.attempts.labels(name).inc(record.attempts)
+        self.took.labels(name).observe(record.took / SECOND)
+        if record.first >= 0:
+            self.first.labels(name).observe(record.first / SECOND)
+
+    @staticmethod
+    def _name(names: list[str], index: int) -> str:
+        return names[index] if 0 <= index < len(names) else str(index)
+
+    def page(self) -> tuple[bytes, str]:
+        """The metrics page and its content type."""
+        return generate_latest(self.registry), CONTENT_TYPE_LATEST
+
+
+def gauge(name: str, text: str, value: float) -> Metric:
+    """A gauge without labels."""
+    return GaugeMetricFamily(f"stonetrack_{name}", text, value=value)
+
+
+def counts(name: str, text: str, label: str, values: dict[str, int]) -> Metric:
+    """A counter with one label."""
+    family = CounterMetricFamily(f"stonetrack_{name}", text, labels=[label])
+    for key, value in sorted(values.items()):
+        family.add_metric([key], value)
+    return family
+
+
+def by(name: str, text: str, label: str, values: dict[str, float]) -> Metric:
+    """A gauge with one label."""
+    family = GaugeMetricFamily(f"stonetrack_{name}", text, labels=[label])
+    for key, value in sorted(values.items()):
+        family.add_metric([key], value)
+    return family
--- /dev/null
+++ b/stonetrack/engines/attempt.py
@@ -0,0 +1,124 @@
+"""One attempt on a socket: writes the request as room comes, reads the answer, ends with one outcome."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable
+
+from stonetrack.api import Outcome
+from stonetrack.engines.pool import abort, readable
+from stonetrack.engines.protocol import Exchange
+from stonetrack.node.ports import AttemptEvent, Over
+
+_SETTLE = 0.005  # seconds waited for the last byte after the answer's end, so that the connection can be kept
+
+
+class SocketAttempt:
+    """See ``ports.Attempt``; used by one thread."""
+
+    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock")
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        request: bytes,
+        exchange: Exchange,
+        confirm: float,
+        give_back: Callable[[socket.socket], None],
+    ) -> None:
+        self._sock: socket.socket | None = sock
+        self._out = memoryview(request)
+        self._exchange = exchange
+        self._confirm = confirm
+        self._give_back = give_back
+
+    def fileno(self) -> int:
+        """The socket's descriptor, -1 where the attempt is over."""
+        return self._sock.fileno() if self._sock is not None else -1
+
+    @property
+    def writing(self) -> bool:
+        """Whether part of the request is still to be written."""
+        return len(self._out) > 0
+
+    def push(self) -> list[AttemptEvent]:
+        """Write what the socket takes."""
+        sock = self._sock
+        if sock is None:
+            return []
+        try:
+            while self._out:
+                self._out = self._out[sock.send(self._out, socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL) :]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            if readable(sock):  # it may have answered before it closed
+                return self._read(sock)
+            return self._broke(f"the connection broke while the request was sent: {error}")
+        return []
+
+    def ready(self) -> list[AttemptEvent]:
+        """Write and read what goes without blocking."""
+        events = self.push() if self._out else []
+        if self._sock is not None and not any(isinstance(event, Over) for event in events):
+            events += self._read(self._sock)
+        return events
+
+    def _read(self, sock: socket.socket) -> list[AttemptEvent]:
+        try:
+            data = sock.recv(65_536, socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return []
+        except OSError as error:
+            return self._broke(f"the connection broke: {error}")
+        if data:
+            events = self._exchange.feed(data)
+        elif self._out and not self._exchange.seen:
+            return self._broke("the engine closed before it took the whole request")
+        else:
+            events = self._exchange.eof()
+        if events and isinstance(events[-1], Over):
+            self._settle(sock, bool(data))
+        return events
+
+    def _broke(self, why: str) -> list[AttemptEvent]:
+        """The connection is gone.  What the engine can't have taken whole, it can't have run (RFC 9112, 8)."""
+        unsent = bool(self._out) and not self._exchange.seen
+        self._drop()
+        return [Over(Outcome.NOT_SENT, why)] if unsent else self._exchange.reset(why)
+
+    def _settle(self, sock: socket.socket, alive: bool) -> None:
+        """After the outcome: keep the connection where its answer is whole, else close it."""
+        if alive and not self._out and self._exchange.reusable:
+            if not self._exchange.settled and readable(sock, _SETTLE):
+                with contextlib.suppress(OSError):
+                    self._exchange.feed(sock.recv(4_096, socket.MSG_DONTWAIT))
+            if self._exchange.settled and self._exchange.reusable:
+                self._sock = None
+                self._give_back(sock)
+                return
+        self._drop()
+
+    def _drop(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+    def abort(self) -> None:
+        """Take the attempt back so that the engine has seen it before the next one starts.
+
+        Our side is closed first; an engine that lives closes its own at once, and that is waited for, so the order
+        of the two attempts holds at both engines whatever the ways between.  One that does not is reset.
+        """
+        if (sock := self._sock) is None:
+            return
+        self._sock = None
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+            waited = 0
+            while waited < 64 and readable(sock, self._confirm):
+                waited += 1
+                if not sock.recv(65_536, socket.MSG_DONTWAIT):
+                    break
+        abort(sock)
--- /dev/null
+++ b/stonetrack/engines/client.py
@@ -0,0 +1,111 @@
+"""The engines' side put together (``ports.Engines``): who is where, attempts, errands."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from stonetrack import api
+from stonetrack.engines import protocol
+from stonetrack.engines.attempt import SocketAttempt
+from stonetrack.engines.errands import Errands
+from stonetrack.engines.listing import Engine
+from stonetrack.engines.pool import Pool, abort
+from stonetrack.node.ports import Ask, Attempt, Over
+from stonetrack.settings import Node
+from stonetrack.wire import http1
+
+SECOND = 1e9
+
+
+class EngineClient:
+    """Reaches the engines of the current list."""
+
+    def __init__(
+        self, settings: Node, clock: Callable[[], int], instance: str, probed: Callable[[api.ProbeEnded], None]
+    ) -> None:
+        timing, limits, routing = settings.timing, settings.limits, settings.routing
+        self._instance = instance
+        self._connect = routing.connect_timeout_ms / 1000.0
+        self._confirm = timing.cancel_confirm_ms / 1000.0
+        self._limits = http1.Limits(body=limits.engine_body_bytes)
+        self._engines: dict[str, Engine] = {}
+        self.pool = Pool(limits.pool_per_engine, timing.pool_idle_ms / 1000.0)
+        self.errands = Errands(
+            self._engines_get,
+            clock,
+            instance=instance,
+            timeout=self._connect,
+            probed=probed,
+            release_within=routing.release_within_ms * 1_000_000,
+        )
+        self.outcomes: dict[str, int] = {}
+
+    def _engines_get(self, server: str) -> Engine | None:
+        return self._engines.get(server)
+
+    def list_changed(self, engines: dict[str, Engine]) -> None:
+        """Take the addresses of a new list.  Engines that left are still known while something may be held there."""
+        gone = {name: engine for name, engine in self._engines.items() if name not in engines}
+        keep = dict(list(gone.items())[-1_000:])
+        self._engines = keep | engines
+        self.pool.forget({(e.host, e.port) for e in engines.values()})
+
+    def start(
+        self,
+        ask: Ask,
+        server: str,
+        number: int,
+        state: dict[str, Any] | None,
+        place: bool,
+        may_send: Callable[[str], bool],
+    ) -> Attempt | Over:
+        """See ``ports.Engines.start``."""
+        engine = self._engines.get(server)
+        if engine is None or not may_send(server):
+            return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving or gone")
+        role = engine.kind.role
+        if state is not None and role is api.Role.READER:
+            state = None
+        request = protocol.chat_request(
+            ask, role, f"{engine.host}:{engine.port}", number, self._instance, state, place, engine.kind.load_header
+        )
+        try:
+            sock, _ = self.pool.take(engine.host, engine.port, self._connect)
+        except OSError as error:
+            return Over(api.Outcome.CONNECT_FAILED, f"engine {server}: {error}")
+        if not may_send(server):  # a list may have come while we connected
+            abort(sock)
+            return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
+        attempt = SocketAttempt(
+            sock,
+            request,
+            protocol.Exchange(role, self._limits),
+            self._confirm,
+            lambda back: self.pool.give(engine.host, engine.port, back),
+        )
+        for event in attempt.push():
+            if isinstance(event, Over):
+                return event
+        return attempt
+
+    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+        """See ``ports.Engines.hold``."""
+        self.errands.hold(request, server, answer)
+
+    def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
+        """See ``ports.Engines.release``."""
+        engine = self._engines.get(reader)
+        if state is None and (engine is None or engine.kind.role is not api.Role.READER):
+            reader = ""
+        if reader or place:
+            self.errands.release(request, reader, state, place, number)
+
+    def probe(self, server: str) -> None:
+        """See ``ports.Engines.probe``."""
+        self.errands.probe(server)
+
+    def close(self, wait: float = 1.0) -> None:
+        """Let releases end, close what is idle."""
+        self.errands.stop(wait)
+        self.pool.close()
--- /dev/null
+++ b/stonetrack/engines/errands.py
@@ -0,0 +1,241 @@
+"""Background calls at engines: places, releases, probes.  A few threads; nothing waits for them.
+
+Places and releases of one request are kept in order: a release that is decided while its place is still being asked
+for is carried out after that answer.
+"""
+
+from __future__ import annotations
+
+import queue
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from stonetrack import api
+from stonetrack.engines import load, pool, protocol
+from stonetrack.engines.listing import Engine
+from stonetrack.engines.releases import Item, ReleaseBook
+from stonetrack.wire import http1, writer
+from stonetrack.wire.errors import ProtocolError
+
+SECOND = 1e9
+_LIMITS = http1.Limits(body=1 << 20)
+
+
+class CallFailed(OSError):
+    """A call without a usable answer."""
+
+    def __init__(self, text: str, outcome: api.Outcome = api.Outcome.ERROR) -> None:
+        super().__init__(text)
+        self.outcome = outcome
+
+
+def call(host: str, port: int, request: bytes, timeout: float, limits: http1.Limits = _LIMITS) -> tuple[int, bytes]:
+    """One request on a connection of its own: status and body.  Raises CallFailed."""
+    try:
+        sock = pool.connect(host, port, timeout)
+    except OSError as error:
+        raise CallFailed(f"{host}:{port}: {error}", api.Outcome.CONNECT_FAILED) from None
+    reader = http1.MessageReader(http1.Side.RESPONSES, limits)
+    status, body = 0, bytearray()
+    try:
+        sock.settimeout(timeout)
+        sock.sendall(request)
+        while True:
+            data = sock.recv(65_536)
+            for event in reader.feed(data) if data else reader.eof():
+                if isinstance(event, http1.ResponseHead):
+                    status = event.status
+                elif isinstance(event, http1.Data):
+                    body += event.data
+                elif isinstance(event, http1.End) and status >= 200:
+                    return status, bytes(body)
+            if not data:
+                raise CallFailed(f"{host}:{port}: closed without an answer", api.Outcome.RESET)
+    except TimeoutError:
+        raise CallFailed(f"{host}:{port}: no answer in {timeout:g} s", api.Outcome.TIMED_OUT) from None
+    except ProtocolError as error:
+        raise CallFailed(f"{host}:{port}: {error}") from None
+    except CallFailed:
+        raise
+    except OSError as error:
+        raise CallFailed(f"{host}:{port}: {error}", api.Outcome.RESET) from None
+    finally:
+        sock.close()
+
+
+class Errands:
+    """Runs the calls on ``threads`` threads, with at most ``most`` waiting."""
+
+    def __init__(
+        self,
+        find: Callable[[str], Engine | None],
+        clock: Callable[[], int],
+        *,
+        instance: str,
+        timeout: float,
+        release_within: int,
+        probed: Callable[[api.ProbeEnded], None],
+        threads: int = 4,
+        most: int = 2_000,
+    ) -> None:
+        self._find, self._clock, self._instance = find, clock, instance
+        self._timeout, self._probed = timeout, probed
+        self._jobs: queue.Queue[Callable[[], None] | None] = queue.Queue(most)
+        self._book = ReleaseBook(give_up=20 * release_within)
+        self._book_lock = threading.Condition(threading.Lock())
+        self._holding: dict[str, Callable[[], None] | None] = {}  # request: what follows the answer
+        self._hold_lock = threading.Lock()
+        self._stopping = False
+        self.dropped = 0
+        self.released = 0
+        self._threads = [threading.Thread(target=self._work, name=f"errands-{n}", daemon=True) for n in range(threads)]
+        self._threads += [
+            threading.Thread(target=self._releases, name=f"releases-{n}", daemon=True) for n in range(threads)
+        ]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self, wait: float) -> None:
+        """Let open releases end for so many seconds, then stop."""
+        end = self._clock() + int(wait * SECOND)
+        with self._book_lock:
+            while len(self._book) and self._clock() < end:
+                self._book_lock.wait(0.05)
+            self._stopping = True
+            self._book_lock.notify_all()
+        for _ in range(len(self._threads)):
+            try:
+                self._jobs.put_nowait(None)
+            except queue.Full:
+                break
+
+    @property
+    def open_releases(self) -> int:
+        """States and places not let go of yet."""
+        return len(self._book)
+
+    def _headers(self, engine: Engine, request: str) -> list[tuple[str, str]]:
+        return [
+            ("Host", f"{engine.host}:{engine.port}"),
+            ("Content-Type", "application/json"),
+            ("X-Request-Id", request),
+            ("X-Stonetrack-Instance", self._instance),
+            ("Connection", "close"),
+        ]
+
+    def _post(self, engine: Engine, target: str, request: str, body: dict[str, Any]) -> int:
+        message = writer.request("POST", target, self._headers(engine, request), msgspec.json.encode(body))
+        return call(engine.host, engine.port, message, self._timeout)[0]
+
+    def _work(self) -> None:
+        while (job := self._jobs.get()) is not None:
+            job()
+
+    def _submit(self, job: Callable[[], None]) -> bool:
+        try:
+            self._jobs.put_nowait(job)
+        except queue.Full:
+            self.dropped += 1
+            return False
+        return True
+
+    # Probes.
+
+    def probe(self, server: str) -> None:
+        """Read the engine's metrics page."""
+        self._submit(lambda: self._probe(server))
+
+    def _probe(self, server: str) -> None:
+        engine = self._find(server)
+        if engine is None:
+            return
+        since = self._clock()
+        request = writer.request("GET", "/metrics", self._headers(engine, f"probe-{server}"))
+        try:
+            status, body = call(engine.host, engine.port, request, self._timeout)
+            outcome = api.Outcome.SERVED if status == 200 else api.Outcome.ERROR
+            report = load.from_metrics(body.decode("utf-8", "replace")) if status == 200 else None
+        except CallFailed as error:
+            outcome, report = error.outcome, None
+        self._probed(api.ProbeEnded(server, outcome, self._clock() - since, report))
+
+    # Places.
+
+    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+        """Ask a writer for a place; ``answer`` is called unless it can't be heard."""
+        with self._hold_lock:
+            self._holding[request] = None
+        if not self._submit(lambda: self._hold(request, server, answer)):
+            with self._hold_lock:
+                self._holding.pop(request, None)
+
+    def _hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+        engine = self._find(server)
+        heard: bool | None = None
+        if engine is not None and engine.kind.hold:
+            try:
+                heard = self._post(engine, protocol.HOLD, request, {"request_id": request}) in (200, 202, 204)
+            except CallFailed:
+                heard = None  # not heard: it may hold one, so a release still goes there
+        with self._hold_lock:
+            follows = self._holding.pop(request, None)
+        if follows is not None:
+            follows()
+        elif heard is not None:
+            answer(heard)
+
+    # Releases.
+
+    def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
+        """Let go of a state and a place, with repeats."""
+
+        def go() -> None:
+            now = self._clock()
+            with self._book_lock:
+                if reader:
+                    self._book.add(Item(request, reader, number, state or {}, now))
+                if place:
+                    self._book.add(Item(request, place, number, None, now))
+                self._book_lock.notify(2)
+
+        with self._hold_lock:
+            if place and request in self._holding:
+                self._holding[request] = go
+                return
+        go()
+
+    def _releases(self) -> None:
+        while True:
+            with self._book_lock:
+                while (found := self._book.due(self._clock())) is None:
+                    if self._stopping:
+                        return
+                    at = self._book.next_at()
+                    self._book_lock.wait(None if at is None else max(0.001, (at - self._clock()) / SECOND))
+            number, item = found
+            done = self._release(item)
+            with self._book_lock:
+                if done:
+                    self._book.done(number)
+                    self.released += 1
+                else:
+                    self._book.again(number, self._clock())
+                self._book_lock.notify_all()
+
+    def _release(self, item: Item) -> bool:
+        engine = self._find(item.server)
+        if engine is None or not engine.kind.release:
+            return True  # gone with all it held, or lets go by its own time-out
+        body: dict[str, Any] = {"request_id": item.request, "attempt": item.number}
+        if item.state is not None:
+            body["kv_transfer_params"] = item.state
+        try:
+            return self._post(engine, protocol.RELEASE, item.request, body) in (200, 202, 204, 404)
+        except CallFailed:
+            return False
--- /dev/null
+++ b/stonetrack/engines/listing.py
@@ -0,0 +1,130 @@
+"""Server lists without I/O: documents in, ``ServerList`` events and addresses out.
+
+A document is ``{"version": 7, "kind": "full", "engines": [{"name", "address", "kind", "cell", "zone", "state",
+"weight", "started"}]}``; ``kind`` is ``full`` (an engine that is absent is gone) or ``changes``.  ``started`` is Unix
+time in seconds, 0 for long ago.  Cells and zones are numbers or names.  A document with anything wrong in it is
+refused whole, and the list before stays in force.
+
+Exception (replaced): an engine that shows up under another address with the same start is another machine; it counts
+as just started.  Guards against prefix credit and full load at an empty machine; acts when only the address changes;
+could harm where an address changes without a restart (the engine then counts as cold once).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from stonetrack import api
+from stonetrack.settings.schema import Kind
+
+SECOND = 1_000_000_000
+
+
+class ListError(ValueError):
+    """A list that can't be used; the text names what, where and what is allowed."""
+
+
+class Line(msgspec.Struct, frozen=True):
+    """One engine as a document gives it."""
+
+    name: str
+    address: str
+    kind: str
+    cell: int | str = 0
+    zone: int | str = 0
+    state: api.ServerState = api.ServerState.UP
+    weight: float = 1.0
+    started: float = 0.0
+
+
+class Document(msgspec.Struct, frozen=True):
+    """One list, or changes to it."""
+
+    engines: tuple[Line, ...]
+    version: int = 0
+    kind: str = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """An engine as the node reaches it."""
+
+    name: str
+    host: str
+    port: int
+    kind: Kind
+
+
+class Listing:
+    """The list as last taken."""
+
+    def __init__(self, kinds: tuple[Kind, ...]) -> None:
+        self._kinds = {kind.name: (n, kind) for n, kind in enumerate(kinds)}
+        self._numbers: dict[str, int] = {}  # of cells and zones given by name
+        self.lines: dict[str, Line] = {}
+        self.engines: dict[str, Engine] = {}
+        self.version = -1
+
+    def take(self, data: bytes, now: int, saved: bool = False) -> api.ServerList:
+        """The event of a document; ``now`` in nanoseconds of Unix time.  Raises ListError, changing nothing."""
+        try:
+            document = msgspec.json.decode(data, type=Document)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise ListError(f"server list: {error}") from None
+        if document.kind not in ("full", "changes"):
+            raise ListError(f"server list: kind {document.kind!r}; allowed: full, changes")
+        lines: dict[str, Line] = {}
+        engines: dict[str, Engine] = {}
+        for n, line in enumerate(document.engines):
+            if line.name in lines:
+                raise ListError(f"server list: engines[{n}]: {line.name!r} stands twice")
+            engines[line.name] = self._engine(n, line)
+            before = self.lines.get(line.name)
+            if before is not None and before.address != line.address and before.started == line.started:
+                line = msgspec.structs.replace(line, started=now / SECOND)
+            lines[line.name] = line
+        if document.kind == "full":
+            self.lines, self.engines = lines, engines
+        else:
+            self.lines, self.engines = self.lines | lines, self.engines | engines
+        kind = api.ListKind.SAVED if saved else api.ListKind[document.kind.upper()]
+        event = api.ServerList(kind, document.version, tuple(self._entry(line) for line in lines.values()))
+        for name in [n for n, line in self.lines.items() if line.state is api.ServerState.REMOVED]:
+            del self.lines[name], self.engines[name]
+        self.version = document.version
+        return event
+
+    def saved(self) -> bytes:
+        """The whole list as a document, for a restart."""
+        return msgspec.json.encode(Document(tuple(self.lines.values()), max(self.version, 0)))
+
+    def _number(self, value: int | str) -> int:
+        return value if isinstance(value, int) else self._numbers.setdefault(value, 1_000_000 + len(self._numbers))
+
+    def _entry(self, line: Line) -> api.ServerEntry:
+        return api.ServerEntry(
+            line.name,
+            self._number(line.zone),
+            self._kinds[line.kind][0],
+            self._number(line.cell),
+            line.state,
+            line.weight,
+            int(line.started * SECOND),
+        )
+
+    def _engine(self, n: int, line: Line) -> Engine:
+        at = f"server list: engines[{n}] ({line.name!r})"
+        if not line.name or len(line.name) > 200 or not line.name.isprintable():
+            raise ListError(f"{at}: name: 1 to 200 printable characters are allowed")
+        host, colon, port = line.address.rpartition(":")
+        if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+            raise ListError(f"{at}: address {line.address!r}; allowed: host:port")
+        if line.kind not in self._kinds:
+            raise ListError(f"{at}: kind {line.kind!r}; allowed: {', '.join(self._kinds)}")
+        if not 0.0 < line.weight < 1e6 or not 0.0 <= line.started < 1e11:
+            raise ListError(
+                f"{at}: weight {line.weight}, started {line.started}; allowed: over 0, seconds of Unix time"
+            )
+        return Engine(line.name, host.strip("[]"), int(port), self._kinds[line.kind][1])
--- /dev/null
+++ b/stonetrack/engines/pool.py
@@ -0,0 +1,97 @@
+"""Connections to engines, kept open between requests.
+
+A pooled connection may have been closed by the engine meanwhile.  One that shows anything readable (an end, or bytes
+nobody asked for) is thrown away before a byte is written to it, so a request is not lost on it for certain; what stays
+is the moment between that look and the write, and there the outcome is RESET, not NOT_SENT, since nobody can know.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import struct
+import threading
+import time
+from collections import deque
+
+_ABORT = struct.pack("ii", 1, 0)
+
+
+def abort(sock: socket.socket) -> None:
+    """Close at once with a reset: nothing more is read, nothing sent."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
+    sock.close()
+
+
+def readable(sock: socket.socket, timeout: float = 0.0) -> bool:
+    """Whether the socket has bytes, an end or an error within so many seconds."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+    return bool(poller.poll(timeout * 1000.0))
+
+
+def connect(host: str, port: int, timeout: float) -> socket.socket:
+    """A connected, blocking socket.  Raises OSError."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(max(timeout, 0.001))
+        sock.connect((host, port))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+class Pool:
+    """Idle connections by address, newest used first; bounded for each address and in age."""
+
+    def __init__(self, per_engine: int, idle: float) -> None:
+        self._per_engine, self._idle = per_engine, idle
+        self._lock = threading.Lock()
+        self._kept: dict[tuple[str, int], deque[tuple[socket.socket, float]]] = {}
+        self.opened = 0
+        self.reused = 0
+
+    def take(self, host: str, port: int, timeout: float) -> tuple[socket.socket, bool]:
+        """A connection and whether it was used before.  Raises OSError where none can be made."""
+        while True:
+            with self._lock:
+                kept = self._kept.get((host, port))
+                sock, since = kept.pop() if kept else (None, 0.0)
+            if sock is None:
+                break
+            if time.monotonic() - since <= self._idle and not readable(sock):
+                self.reused += 1
+                return sock, True
+            sock.close()
+        self.opened += 1
+        return connect(host, port, timeout), False
+
+    def give(self, host: str, port: int, sock: socket.socket) -> None:
+        """Keep a connection whose last answer was read to its end."""
+        now = time.monotonic()
+        stale: list[socket.socket] = []
+        with self._lock:
+            kept = self._kept.setdefault((host, port), deque())
+            kept.append((sock, now))
+            while kept and (len(kept) > self._per_engine or now - kept[0][1] > self._idle):
+                stale.append(kept.popleft()[0])
+        for each in stale:
+            each.close()
+
+    def forget(self, keep: set[tuple[str, int]]) -> None:
+        """Close what goes to other addresses."""
+        with self._lock:
+            gone = [address for address in self._kept if address not in keep]
+            stale = [sock for address in gone for sock, _ in self._kept.pop(address)]
+        for each in stale:
+            each.close()
+
+    def close(self) -> None:
+        """Close all."""
+        self.forget(set())
--- /dev/null
+++ b/stonetrack/fronts/__init__.py
@@ -0,0 +1,7 @@
+"""Fronts: HTTP connections of clients, and the APIs spoken on them.
+
+:mod:`.host` holds the sockets and threads, :mod:`.app` the routes, :mod:`.chat` and :mod:`.kserve` one API each; what a
+request means (:mod:`.classify`, :mod:`.auth`) and what an answer looks like (:mod:`.answers`) is free of I/O.
+Comes in: connections.  Goes out: an ``Ask`` to the node, and what the node's answer looks like in the client's API.
+Must never touch: engines, their protocol, or any choice of the router.
+"""
--- /dev/null
+++ b/stonetrack/fronts/app.py
@@ -0,0 +1,88 @@
+"""Which front answers which path, and what every path shares: health, metrics, plain errors."""
+
+from __future__ import annotations
+
+import msgspec
+
+from stonetrack.fronts.chat import Admission, Chat
+from stonetrack.fronts.errors import ApiError
+from stonetrack.fronts.host import Connection, Request, plain
+from stonetrack.fronts.kserve import PREFIX, KServe
+from stonetrack.fronts.service import Service
+from stonetrack.node.drive import Waker
+
+_encode = msgspec.json.Encoder().encode
+
+
+def refusal(status: int, why: str) -> bytes:
+    """The whole response for a client that is turned away; the connection closes after it."""
+    error = ApiError(status, why, "server_error" if status >= 500 else "invalid_request_error")
+    headers = (("Retry-After", "1"),) if status == 503 else ()
+    return plain(status, _encode(error.body()), headers, keep=False)
+
+
+class App:
+    """Routes requests to the fronts."""
+
+    def __init__(self, service: Service) -> None:
+        admission = Admission(service)
+        self.service = service
+        self.chat = Chat(admission)
+        self.kserve = KServe(admission)
+
+    def handle(self, connection: Connection, request: Request, waker: Waker) -> bool:
+        """Answer one request; whether the connection may be kept.  Raises ClientLost."""
+        head = request.head
+        try:
+            return self._route(connection, request, waker)
+        except ApiError as error:
+            keep = head.keep_alive
+            connection.write(
+                plain(error.status, _encode(error.body()), error.headers, keep=keep, head_only=head.method == "HEAD")
+            )
+            return keep
+
+    def _route(self, connection: Connection, request: Request, waker: Waker) -> bool:
+        head = request.head
+        path = head.path
+        if path == "/v1/chat/completions":
+            self._allow(head.method, "POST")
+            return self.chat.completions(connection, request, waker)
+        if path == PREFIX or path.startswith(PREFIX + "/"):
+            return self.kserve.handle(connection, request, waker)
+        if path == "/v1/models" or path.startswith("/v1/models/"):
+            self._allow(head.method, "GET", "HEAD")
+            return self.chat.models(connection, request, waker)
+        if path in ("/health", "/metrics"):
+            self._allow(head.method, "GET", "HEAD")
+            return self._own(connection, request)
+        raise ApiError(404, f"nothing is served at {path[:100]!r}", code="not_found")
+
+    @staticmethod
+    def _allow(method: str, *allowed: str) -> None:
+        if method not in allowed:
+            raise ApiError(
+                405,
+                f"method {method[:20]}: {', '.join(allowed)} is allowed here",
+                code="method_not_allowed",
+                headers=(("Allow", ", ".join(allowed)),),
+            )
+
+    def _own(self, connection: Connection, request: Request) -> bool:
+        head = request.head
+        if head.path == "/metrics":
+            status, (body, kind) = 200, self.service.metrics()
+        else:
+            healthy, told = self.service.health()
+            status, body, kind = (200 if healthy else 503), _encode(told), "application/json"
+        connection.write(
+            plain(
+                status,
+                body,
+                (("X-Stonetrack-Instance", self.service.name),),
+                kind,
+                keep=head.keep_alive,
+                head_only=head.method == "HEAD",
+            )
+        )
+        return head.keep_alive
--- /dev/null
+++ b/stonetrack/fronts/service.py
@@ -0,0 +1,58 @@
+"""What a front is given to work with, and what it tells afterwards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from stonetrack.node.drive import Waker
+from stonetrack.node.life import Life
+from stonetrack.node.ports import Ask, Sink
+from stonetrack.settings.schema import Node
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One request as it ended, for the log and the metrics; times in nanoseconds."""
+
+    front: str
+    request: str
+    class_index: int
+    tenant: int
+    status: int
+    ended: str  # served, refused, failed, broken, rejected, gone
+    took: int
+    first: int  # until the answer began, -1 where it did not
+    attempts: int
+    usage: dict[str, Any] | None
+
+
+class Service(Protocol):
+    """The instance behind the fronts."""
+
+    @property
+    def settings(self) -> Node:
+        """The settings in force."""
+
+    @property
+    def name(self) -> str:
+        """The instance's name, sent in answers."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the instance is about to stop."""
+
+    def serve(self, ask: Ask, sink: Sink, waker: Waker) -> Life:
+        """Run one request to its end."""
+
+    def clock(self) -> int:
+        """Nanoseconds of Unix time."""
+
+    def health(self) -> tuple[bool, dict[str, Any]]:
+        """Whether the instance serves, and what it knows of itself."""
+
+    def metrics(self) -> tuple[bytes, str]:
+        """The metrics page and its content type."""
+
+    def record(self, record: Record) -> None:
+        """Note how a request ended."""
--- /dev/null
+++ b/stonetrack/node/core.py
@@ -0,0 +1,211 @@
+"""Where events meet the router: one at a time, in one order.
+
+The order.  ``tell`` takes a lock, reads the clock, hands the event to ``Router.handle`` and sorts its actions into
+the mailboxes of the requests they are for, then lets go.  So events are ordered by who takes the lock first, their
+times never step back, and a request's mailbox holds its commands in the order they were decided.  Nothing blocks
+under the lock: no socket is touched there, and the router is pure.
+
+Each request is run by one thread, which alone touches its sockets.  A command decided in another thread (a sweep, a
+server list) wakes it through ``Ticket.wake``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import threading
+import time
+from collections import Counter, deque
+from collections.abc import Callable
+from typing import Protocol
+
+from stonetrack import api
+from stonetrack.node.ports import Ask
+
+
+def unix_clock() -> Callable[[], int]:
+    """A clock in nanoseconds that starts at Unix time and never steps: server lists give starts in Unix time."""
+    offset = time.time_ns() - time.monotonic_ns()
+    monotonic = time.monotonic_ns
+    return lambda: offset + monotonic()
+
+
+class Decider(Protocol):
+    """What the core needs of ``stonetrack.logic.Router``."""
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Take one event; the actions to carry out."""
+
+
+class Ticket:
+    """One request's mailbox."""
+
+    __slots__ = ("commands", "owner", "request", "wake")
+
+    def __init__(self, request: str, wake: Callable[[], None]) -> None:
+        self.request = request
+        self.commands: deque[api.Action] = deque()
+        self.owner = threading.get_ident()
+        self.wake = wake
+
+
+class Core:
+    """One instance's router and what surrounds it."""
+
+    def __init__(
+        self,
+        router: Decider,
+        clock: Callable[[], int],
+        *,
+        log: Callable[[str], None],
+        probe: Callable[[str], None] = lambda server: None,
+        subscribe: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.clock = clock
+        self.router = router
+        self._log, self._probe, self._subscribe = log, probe, subscribe
+        self._lock = threading.Lock()
+        self._tickets: dict[str, Ticket] = {}
+        self._closed: dict[str, int] = {}  # servers that the list told of as leaving: when
+        self.events: Counter[str] = Counter()
+        self.actions: Counter[str] = Counter()
+        self._timers = Timers(lambda token: self.tell(api.TimerFired(token)))
+
+    def start(self) -> None:
+        """Start the timer thread."""
+        self._timers.start()
+
+    def stop(self) -> None:
+        """Stop the timer thread; requests are not touched."""
+        self._timers.stop()
+
+    @property
+    def open_requests(self) -> int:
+        """Requests taken and not yet over."""
+        return len(self._tickets)
+
+    def arrive(self, ask: Ask, wake: Callable[[], None]) -> Ticket:
+        """Take a request: from now on it is owed one final answer."""
+        ticket = Ticket(ask.request, wake)
+        self.tell(
+            api.RequestArrived(
+                ask.request,
+                ask.class_index,
+                ask.session,
+                ask.time_left,
+                ask.prompt_tokens,
+                ask.shared_beginning,
+                ask.shared_tokens,
+                ask.max_answer_tokens,
+                ask.tenant,
+                repeated=ask.repeated,
+            ),
+            ticket,
+        )
+        return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """The request is over; its mailbox is closed."""
+        with self._lock:
+            self._tickets.pop(ticket.request, None)
+
+    def may_send(self, server: str) -> bool:
+        """Whether the last list that came still has the server up.
+
+        A send decided just before a list told of a drain may not have been written yet; it is asked here again,
+        and taken back as not sent, so that the grace is kept however long connecting took.
+        """
+        return server not in self._closed
+
+    def tell(self, event: api.Event, ticket: Ticket | None = None) -> None:
+        """Hand one event to the router and its actions to those who carry them out."""
+        me = threading.get_ident()
+        woken: list[Ticket] = []
+        outside: list[api.Action] = []
+        with self._lock:
+            now = self.clock()
+            if ticket is not None:
+                self._tickets[ticket.request] = ticket
+            if isinstance(event, api.ServerList):
+                self._note_list(event, now)
+            actions = self.router.handle(now, event)
+            self.events[type(event).__name__] += 1
+            for action in actions:
+                self.actions[type(action).__name__] += 1
+                if isinstance(action, api.SetTimer):
+                    self._timers.add(action.token, action.delay)
+                elif isinstance(action, (api.Probe, api.Log, api.Subscribe)):
+                    outside.append(action)
+                elif (owner := self._tickets.get(action.request)) is not None:
+                    owner.commands.append(action)
+                    if owner.owner != me and (not woken or woken[-1] is not owner):
+                        woken.append(owner)
+        for each in woken:
+            each.wake()
+        for action in outside:
+            if isinstance(action, api.Probe):
+                self._probe(action.server)
+            elif isinstance(action, api.Log):
+                self._log(action.text)
+            else:
+                self._subscribe()
+
+    def _note_list(self, event: api.ServerList, now: int) -> None:
+        listed = set()
+        for entry in event.entries:
+            listed.add(entry.server)
+            if entry.state is api.ServerState.UP:
+                self._closed.pop(entry.server, None)
+            else:
+                self._closed.setdefault(entry.server, now)
+        if event.kind in (api.ListKind.SAVED, api.ListKind.FULL):
+            for server in list(getattr(self.router, "servers", ())):
+                if server not in listed:
+                    self._closed.setdefault(server, now)
+        if len(self._closed) > 4_096:  # names that never come back; the oldest are forgotten
+            for server in sorted(self._closed, key=self._closed.__getitem__)[:1_024]:
+                del self._closed[server]
+
+
+class Timers:
+    """One thread that calls back when timers are due; used for the router's few."""
+
+    def __init__(self, fire: Callable[[int], None]) -> None:
+        self._fire = fire
+        self._heap: list[tuple[int, int, int]] = []
+        self._count = 0
+        self._changed = threading.Condition(threading.Lock())
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread; timers not due are dropped."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify()
+        if self._thread.ident is not None:
+            self._thread.join(2.0)
+
+    def add(self, token: int, delay: int) -> None:
+        """Call back with the token after so many nanoseconds."""
+        with self._changed:
+            self._count += 1
+            heapq.heappush(self._heap, (time.monotonic_ns() + delay, self._count, token))
+            if self._heap[0][1] == self._count:
+                self._changed.notify()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                while not self._stopping:
+                    wait = (self._heap[0][0] - time.monotonic_ns()) / 1e9 if self._heap else None
+                    if wait is not None and wait <= 0:
+                        break
+                    self._changed.wait(wait)
+                if self._stopping:
+                    return
+                _, _, token = heapq.heappop(self._heap)
+            self._fire(token)
--- /dev/null
+++ b/stonetrack/node/drive.py
@@ -0,0 +1,247 @@
+"""The thread that runs one request: waits on its sockets, feeds :mod:`.life`, carries out what that says.
+
+A thread waits in one ``poll`` on three descriptors: the client's (leaving, room to write), the attempt's, and its own
+wake-up, written by whoever puts a command into its mailbox.  Sockets are blocking ones, read and written only when
+``poll`` says so, and never touched by another thread.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import select
+from collections import deque
+from dataclasses import dataclass
+
+from stonetrack.api import Outcome
+from stonetrack.node.core import Core
+from stonetrack.node.life import (
+    Abort,
+    Begin,
+    Deliver,
+    Effect,
+    Finish,
+    Hold,
+    LetGo,
+    Life,
+    Stage,
+    Start,
+    Tell,
+)
+from stonetrack.node.ports import Ask, Attempt, Began, ClientLost, Engines, Over, Piece, Sink
+
+_LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+MS = 1_000_000
+
+
+class Waker:
+    """A descriptor that another thread can make readable; one for each worker thread."""
+
+    __slots__ = ("fd",)
+
+    def __init__(self) -> None:
+        self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+
+    def wake(self) -> None:
+        """Make it readable."""
+        os.eventfd_write(self.fd, 1)
+
+    def clear(self) -> None:
+        """Make it unreadable."""
+        with contextlib.suppress(BlockingIOError):
+            os.eventfd_read(self.fd)
+
+    def close(self) -> None:
+        """Give the descriptor back."""
+        os.close(self.fd)
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time and size bounds of one request, in nanoseconds and bytes."""
+
+    stream_silence: int
+    client_stall: int
+    send_buffer: int
+
+
+class Drive:
+    """Runs one request to its end."""
+
+    def __init__(self, core: Core, engines: Engines, bounds: Bounds, ask: Ask, sink: Sink, waker: Waker) -> None:
+        self.core, self.engines, self.bounds, self.sink, self.waker = core, engines, bounds, sink, waker
+        self.life = Life(ask, bounds.stream_silence)
+        self.attempt: Attempt | None = None
+        self.late: deque[Over] = deque()  # outcomes of attempts that ended at once
+        self.progress = 0  # when the client last took a byte
+
+    def run(self) -> Life:
+        """From arrival to the last outcome; the finished life, for the record."""
+        core, life = self.core, self.life
+        self.waker.clear()
+        ticket = core.arrive(life.ask, self.waker.wake)
+        self.progress = core.clock()
+        try:
+            while True:
+                self._commands(ticket.commands)
+                if life.over and not ticket.commands and (life.gone or not self.sink.pending):
+                    return life
+                self._wait()
+        finally:
+            if self.attempt is not None:
+                self.attempt.abort()
+            core.leave(ticket)
+
+    def _commands(self, commands: deque) -> None:  # type: ignore[type-arg]
+        while commands or self.late:
+            now = self.core.clock()
+            if self.late:
+                self._do(self.life.attempt(self.late.popleft(), now))
+            else:
+                self._do(self.life.command(commands.popleft(), now))
+
+    # One wait.
+
+    def _wait(self) -> None:
+        life, attempt, sink = self.life, self.attempt, self.sink
+        poller = select.poll()
+        poller.register(self.waker.fd, select.POLLIN)
+        client = -1 if life.gone else sink.fileno()
+        if client >= 0:
+            poller.register(client, select.POLLRDHUP | (select.POLLOUT if sink.pending else 0))
+        engine = attempt.fileno() if attempt is not None else -1
+        full = not life.gone and sink.pending > self.bounds.send_buffer
+        if engine >= 0 and attempt is not None:
+            mask = (0 if full else select.POLLIN) | (select.POLLOUT if attempt.writing else 0)
+            poller.register(engine, mask) if mask else None
+        # The descriptors stay the same through a stream; stay in here while nothing else changes.
+        while True:
+            now = self.core.clock()
+            ready = poller.poll(self._timeout(now))
+            now = self.core.clock()
+            woken = False
+            for fd, mask in ready:
+                if fd == client:
+                    self._client(mask, now)
+                elif fd == engine:
+                    self._engine(now, full)
+                else:
+                    self.waker.clear()
+                    woken = True
+            self._times(now, full)
+            if (
+                woken
+                or self.attempt is not attempt
+                or life.over
+                or life.gone
+                or self.late
+                or sink.pending
+                or client < 0
+                or (attempt is not None and (attempt.writing or attempt.fileno() != engine))
+                or life.stage is not Stage.STREAMING
+            ):
+                return
+
+    def _timeout(self, now: int) -> float | None:
+        """Milliseconds until something is due."""
+        dues = [self.life.due()] if not self._blocked() else []
+        if self.sink.pending and not self.life.gone:
+            dues.append(self.progress + self.bounds.client_stall)
+        dues = [due for due in dues if due]
+        return max(0.0, (min(dues) - now) / MS + 1.0) if dues else None
+
+    def _blocked(self) -> bool:
+        """Whether the engine is not read because the client takes nothing: silence is then the client's."""
+        return self.life.stage is Stage.STREAMING and self.sink.pending > self.bounds.send_buffer
+
+    def _client(self, mask: int, now: int) -> None:
+        if mask & _LEFT:
+            self._lost(now)
+        elif mask & select.POLLOUT:
+            try:
+                before = self.sink.pending
+                if self.sink.flush() < before:
+                    self.progress = now
+                    if self.life.stage is Stage.STREAMING:
+                        self.life.silent_at = max(self.life.silent_at, now + self.bounds.stream_silence)
+            except ClientLost:
+                self._lost(now)
+
+    def _lost(self, now: int) -> None:
+        self._do(self.life.client_gone(now))
+
+    def _engine(self, now: int, full: bool) -> None:
+        attempt = self.attempt
+        if attempt is None:
+            return
+        for event in attempt.ready():
+            if isinstance(event, Over):
+                self.attempt = None
+            self._do(self.life.attempt(event, now))
+            if self.attempt is not attempt and not isinstance(event, Over):
+                break  # aborted meanwhile: what follows reaches nobody
+
+    def _times(self, now: int, full: bool) -> None:
+        if not self._blocked():
+            self._do(self.life.time(now))
+        if self.sink.pending and not self.life.gone and now > self.progress + self.bounds.client_stall:
+            self._lost(now)  # it takes nothing: gone for us, and its connection is closed
+
+    # Effects.
+
+    def _do(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Deliver(piece):
+                    self._give(piece)
+                case Tell(event):
+                    self.core.tell(event)
+                case Begin():
+                    self._give(Began())
+                case Start(server, number, state, place, _):
+                    self._start(server, number, state, place)
+                case Abort():
+                    if self.attempt is not None:
+                        attempt, self.attempt = self.attempt, None
+                        attempt.abort()
+                case Finish(final):
+                    try:
+                        self.sink.finish(final)
+                        self.progress = self.core.clock()
+                    except ClientLost:
+                        self.life.gone = True
+                case Hold(server):
+                    self._hold(server)
+                case LetGo(reader, state, place, number):
+                    self.engines.release(self.life.ask.request, reader, state, place, number)
+
+    def _give(self, what: Piece | Began) -> None:
+        if self.life.gone:
+            return
+        had = self.sink.pending
+        try:
+            if isinstance(what, Piece):
+                self.sink.piece(what)
+            else:
+                self.sink.begin()
+        except ClientLost:
+            self._lost(self.core.clock())
+            return
+        if not had:
+            self.progress = self.core.clock()
+
+    def _start(self, server: str, number: int, state: dict | None, place: bool) -> None:  # type: ignore[type-arg]
+        started = self.engines.start(self.life.ask, server, number, state, place, self.core.may_send)
+        if isinstance(started, Over):
+            self.late.append(started)
+        else:
+            self.attempt = started
+
+    def _hold(self, server: str) -> None:
+        from stonetrack.api import PlaceAnswer
+
+        request, number, core = self.life.ask.request, self.life.number, self.core
+        self.engines.hold(request, server, lambda held: core.tell(PlaceAnswer(request, number, server, held)))
+
+
+__all__ = ["Bounds", "Drive", "Outcome", "Waker"]
--- /dev/null
+++ b/stonetrack/settings/__init__.py
@@ -0,0 +1,12 @@
+"""Settings: a Jsonnet file in, typed and checked values out, or every error at once.
+
+:mod:`.schema` holds the types, :mod:`.check` what a type can't say, :mod:`.load` the evaluation.
+Comes in: a file's path.  Goes out: a ``Node``, or ``SettingsError`` naming path, value and what is allowed.
+Must never touch: sockets, threads, the router's state.
+"""
+
+from stonetrack.settings.check import SettingsError
+from stonetrack.settings.load import evaluate, load, parse
+from stonetrack.settings.schema import Node
+
+__all__ = ["Node", "SettingsError", "evaluate", "load", "parse"]
--- /dev/null
+++ b/stonetrack/settings/check.py
@@ -0,0 +1,137 @@
+"""What the types can't say: names that must be known or unique, and values that must fit each other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from stonetrack import api
+from stonetrack.settings.schema import Node
+
+MS = 1_000_000  # nanoseconds
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing wrong: where it stands, what was found, what is allowed."""
+
+    path: str
+    found: object
+    allowed: str
+
+    def __str__(self) -> str:
+        return f"{self.path}: found {self.found!r}; allowed: {self.allowed}"
+
+
+class SettingsError(ValueError):
+    """Settings that can't be used; ``problems`` holds all that was found."""
+
+    def __init__(self, problems: Iterable[Problem], where: str = "settings") -> None:
+        self.problems = tuple(problems)
+        self.where = where
+        super().__init__("\n".join(f"{where}: {problem}" for problem in self.problems))
+
+
+def _repeats(path: str, names: Iterable[str]) -> Iterator[Problem]:
+    seen: set[str] = set()
+    for index, name in enumerate(names):
+        if name in seen:
+            yield Problem(f"$.{path}[{index}]", name, "each name once")
+        seen.add(name)
+
+
+def problems(node: Node) -> Iterator[Problem]:
+    """All that is wrong with settings whose types are right."""
+    yield from _repeats("models", (m.name for m in node.models))
+    yield from _repeats("classes", (c.name for c in node.classes))
+    yield from _repeats("kinds", (k.name for k in node.kinds))
+    yield from _repeats("tenants", (t.name for t in node.tenants))
+    yield from _repeats("tenants key_hashes", (h for t in node.tenants for h in t.key_hashes))
+    classes = [c.name for c in node.classes]
+    models = [m.name for m in node.models]
+    for n, rule in enumerate(node.rules):
+        if rule.to not in classes:
+            yield Problem(f"$.rules[{n}].to", rule.to, f"a class: {', '.join(classes)}")
+        if rule.model and rule.model not in models:
+            yield Problem(f"$.rules[{n}].model", rule.model, f"a model: {', '.join(models)}")
+        if rule.max_prompt_tokens and rule.max_prompt_tokens < rule.min_prompt_tokens:
+            yield Problem(
+                f"$.rules[{n}].max_prompt_tokens",
+                rule.max_prompt_tokens,
+                f"0 or at least min_prompt_tokens ({rule.min_prompt_tokens})",
+            )
+    for n, cls in enumerate(node.classes):
+        if cls.deadline_ms < cls.first_token_ms:
+            yield Problem(
+                f"$.classes[{n}].deadline_ms", cls.deadline_ms, f"at least first_token_ms ({cls.first_token_ms})"
+            )
+        if cls.deadline_ms <= 2 * node.timing.answer_margin_ms:
+            yield Problem(
+                f"$.classes[{n}].deadline_ms",
+                cls.deadline_ms,
+                f"over twice timing.answer_margin_ms ({node.timing.answer_margin_ms})",
+            )
+    roles = {k.role for k in node.kinds}
+    if api.Role.MIXED not in roles and not {api.Role.READER, api.Role.WRITER} <= roles:
+        yield Problem("$.kinds", sorted(r.value for r in roles), "a reader and a writer, or a mixed kind")
+    if bool(node.source.file) == bool(node.source.url):
+        yield Problem("$.source", node.source.url or node.source.file, "either file or url")
+    if node.source.url and not node.source.url.startswith("http://"):
+        yield Problem("$.source.url", node.source.url, "http://host:port/path")
+    if not node.tenants and not node.any_key:
+        yield Problem("$.tenants", [], "a tenant with a key, or any_key: true")
+    if node.tenants and not node.any_key and not any(t.key_hashes for t in node.tenants):
+        yield Problem("$.tenants", [t.name for t in node.tenants], "at least one key hash, or any_key: true")
+    routing = node.routing
+    if routing.drain_grace_ms <= routing.connect_timeout_ms // 2:
+        yield Problem(
+            "$.routing.connect_timeout_ms",
+            routing.connect_timeout_ms,
+            f"under twice drain_grace_ms ({routing.drain_grace_ms})",
+        )
+    if routing.may_hold_place and not any(k.hold for k in node.kinds):
+        yield Problem("$.routing.may_hold_place", True, "true only where a kind has hold: true")
+
+
+def router_settings(node: Node, router: int, instances: int) -> api.Settings:
+    """What the router of one instance is told."""
+    r = node.routing
+    routers = r.routers or instances
+    return api.Settings(
+        classes=tuple(
+            api.RequestClass(
+                c.name,
+                c.first_token_ms * MS,
+                c.first_token_ms_per_1000 * MS,
+                c.token_ms * MS,
+                c.deadline_ms * MS,
+                c.worth,
+                c.late_worth,
+                c.effect,
+                c.scope,
+                c.key_window_ms * MS,
+            )
+            for c in node.classes
+        ),
+        kinds=tuple(api.Kind(k.role, k.memory_tokens) for k in node.kinds),
+        tenants=tuple(api.Tenant(t.name, t.quota_per_second) for t in node.tenants),
+        router=router % routers,
+        routers=routers,
+        zone=r.zone,
+        max_attempts=r.max_attempts,
+        may_cancel=r.may_cancel,
+        may_probe=r.may_probe,
+        may_hold_place=r.may_hold_place,
+        may_advise_retry=r.may_advise_retry,
+        max_retry_after=r.max_retry_after_ms * MS,
+        writers_read=r.writers_read,
+        report_source=r.report_source,
+        list_on_request=False,
+        connect_timeout=r.connect_timeout_ms * MS,
+        release_within=r.release_within_ms * MS,
+        cold_share=r.cold_share,
+        warm_within=r.warm_within_ms * MS,
+        cold_multiple=r.cold_multiple,
+        cold_window=r.cold_window_ms * MS,
+        over_share_worth=r.over_share_worth,
+    )
--- /dev/null
+++ b/stonetrack/settings/load.py
@@ -0,0 +1,61 @@
+"""Evaluates a Jsonnet file and checks the result.  ``import 'stonetrack.libsonnet'`` finds our library."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+
+import msgspec
+import rjsonnet
+
+from stonetrack.settings.check import Problem, SettingsError, problems
+from stonetrack.settings.schema import Node
+
+LIBRARY = Path(__file__).parent
+
+
+def evaluate(path: Path, variables: Mapping[str, str] | None = None) -> str:
+    """The file's JSON text.  Raises SettingsError where it can't be read or evaluated."""
+    try:
+        if path.suffix == ".json":
+            return path.read_text("utf-8")
+        return str(
+            rjsonnet.evaluate_file(str(path), jpathdir=[str(LIBRARY), str(path.parent)], ext_vars=dict(variables or {}))
+        )
+    except (OSError, RuntimeError, ValueError) as error:
+        text = " ".join(str(error).split())
+        raise SettingsError([Problem("$", text, "a Jsonnet file that evaluates to one object")], str(path)) from None
+
+
+def parse(text: str | bytes, where: str = "settings") -> Node:
+    """Typed settings from JSON.  Raises SettingsError naming path, value and what is allowed."""
+    try:
+        raw = json.loads(text)
+        node = msgspec.convert(raw, Node, strict=True)
+    except (ValueError, RecursionError) as error:  # msgspec.ValidationError and JSONDecodeError are of these
+        message, _, path = str(error).partition(" - at `")
+        at = path.rstrip("`") or "$"
+        raise SettingsError([Problem(at, _found(text, at), message)], where) from None
+    wrong = tuple(problems(node))
+    if wrong:
+        raise SettingsError(wrong, where)
+    return node
+
+
+def load(path: Path, variables: Mapping[str, str] | None = None) -> Node:
+    """Evaluate and check a file."""
+    return parse(evaluate(path, variables), str(path))
+
+
+def _found(text: str | bytes, path: str) -> object:
+    """The value at a path like ``$.classes[0].worth``, or a word where it can't be found."""
+    try:
+        value = json.loads(text)
+        for part in path.removeprefix("$").replace("[", ".[").split(".")[1:]:
+            value = value[int(part[1:-1])] if part.startswith("[") else value[part]
+    except (ValueError, KeyError, IndexError, TypeError, RecursionError):
+        return "nothing readable"
+    if isinstance(value, dict):
+        return f"an object with {', '.join(sorted(value))}" if value else "an empty object"
+    return value
--- /dev/null
+++ b/stonetrack/settings/schema.py
@@ -0,0 +1,171 @@
+"""The types of the settings.  Durations carry their unit in their name; whole numbers unless said otherwise.
+
+Every type refuses fields that it does not know, so that a misspelt name is an error and not a default.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from stonetrack.api import Effect, ReportSource, Role, Scope
+
+Millis = Annotated[int, Meta(ge=0, le=86_400_000)]
+Positive = Annotated[int, Meta(ge=1)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[^\x00-\x1f\x7f]+$")]
+KeyHash = Annotated[str, Meta(pattern=r"^sha256:[0-9a-f]{64}$")]
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A struct that refuses unknown fields."""
+
+
+class Listen(_Strict, frozen=True):
+    """Where clients connect.  Port 0 takes a free one."""
+
+    host: Name = "127.0.0.1"
+    port: Annotated[int, Meta(ge=0, le=65_535)] = 8080
+    backlog: Annotated[int, Meta(ge=1, le=65_535)] = 1024
+
+
+class Model(_Strict, frozen=True):
+    """One model served under a name; ``engine_name`` is what the engines call it, by default the same."""
+
+    name: Name
+    engine_name: str = ""
+    owned_by: str = "stonetrack"
+    created: Annotated[int, Meta(ge=0)] = 0
+
+
+class RequestClass(_Strict, frozen=True):
+    """One class of requests (see api.RequestClass)."""
+
+    name: Name
+    first_token_ms: Annotated[int, Meta(ge=1, le=3_600_000)]
+    deadline_ms: Annotated[int, Meta(ge=1, le=3_600_000)]
+    first_token_ms_per_1000: Millis = 40
+    token_ms: Millis = 80
+    worth: Annotated[float, Meta(ge=0.0)] = 1.0
+    late_worth: Share = 0.0
+    effect: Effect = Effect.SAFE
+    scope: Scope = Scope.ALL
+    key_window_ms: Millis = 0
+
+
+class Header(_Strict, frozen=True):
+    """A request header's name and the value it must have."""
+
+    name: Name
+    value: str
+
+
+class Rule(_Strict, frozen=True):
+    """Gives a request its class: all that is named here must hold.  The first rule that does wins."""
+
+    to: Name
+    model: str = ""
+    header: Header | None = None
+    min_prompt_tokens: Annotated[int, Meta(ge=0)] = 0
+    max_prompt_tokens: Annotated[int, Meta(ge=0)] = 0  # 0 for no bound
+
+
+class Tenant(_Strict, frozen=True):
+    """One tenant, its share and the hashes of its keys: sha256: and the key's SHA-256 in hexadecimal."""
+
+    name: Name
+    quota_per_second: Annotated[float, Meta(ge=0.0)] = 0.0
+    key_hashes: tuple[KeyHash, ...] = ()
+
+
+class Kind(_Strict, frozen=True):
+    """One kind of engine and which of the protocol's extensions it speaks."""
+
+    name: Name
+    role: Role
+    memory_tokens: Annotated[int, Meta(ge=0)] = 0
+    release: bool = False
+    hold: bool = False
+    load_header: bool = True
+
+
+class Source(_Strict, frozen=True):
+    """Where the server list comes from: a watched file, or an HTTP list (``http://host:port/path``)."""
+
+    file: str = ""
+    url: str = ""
+    poll_ms: Annotated[int, Meta(ge=10, le=3_600_000)] = 200
+    wait_ms: Annotated[int, Meta(ge=0, le=300_000)] = 20_000
+
+
+class Routing(_Strict, frozen=True):
+    """What the router is told besides classes, kinds and tenants (see api.Settings)."""
+
+    routers: Annotated[int, Meta(ge=0, le=100_000)] = 0  # 0: as many as there are instances
+    zone: Annotated[int, Meta(ge=0)] = 0
+    max_attempts: Annotated[int, Meta(ge=1, le=100)] = 4
+    may_cancel: bool = True
+    may_probe: bool = False
+    may_hold_place: bool = False
+    may_advise_retry: bool = True
+    max_retry_after_ms: Millis = 5_000
+    writers_read: bool = False
+    report_source: ReportSource = ReportSource.ANSWERS
+    connect_timeout_ms: Annotated[int, Meta(ge=1, le=60_000)] = 250
+    release_within_ms: Annotated[int, Meta(ge=50, le=600_000)] = 500
+    cold_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.25
+    warm_within_ms: Millis = 12_000
+    cold_multiple: Annotated[float, Meta(ge=1.0)] = 3.0
+    cold_window_ms: Annotated[int, Meta(ge=1, le=600_000)] = 3_000
+    over_share_worth: Share = 1.0
+    drain_grace_ms: Annotated[int, Meta(ge=1, le=60_000)] = 250
+
+
+class Limits(_Strict, frozen=True):
+    """Bounds on what one instance takes on."""
+
+    connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 12_000
+    workers: Annotated[int, Meta(ge=1, le=50_000)] = 4_000
+    stack_kib: Annotated[int, Meta(ge=64, le=65_536)] = 256
+    head_bytes: Annotated[int, Meta(ge=1_024, le=1 << 20)] = 65_536
+    headers: Annotated[int, Meta(ge=8, le=10_000)] = 100
+    body_bytes: Annotated[int, Meta(ge=1_024, le=1 << 30)] = 8 << 20
+    json_depth: Annotated[int, Meta(ge=4, le=500)] = 64
+    json_values: Annotated[int, Meta(ge=100, le=10_000_000)] = 100_000
+    engine_body_bytes: Annotated[int, Meta(ge=1_024, le=1 << 30)] = 64 << 20
+    send_buffer_bytes: Annotated[int, Meta(ge=4_096, le=64 << 20)] = 256 << 10
+    pool_per_engine: Annotated[int, Meta(ge=0, le=10_000)] = 64
+
+
+class Timing(_Strict, frozen=True):
+    """Time bounds outside the router's decisions."""
+
+    header_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
+    body_ms: Annotated[int, Meta(ge=10, le=600_000)] = 30_000
+    idle_ms: Annotated[int, Meta(ge=10, le=86_400_000)] = 75_000
+    client_stall_ms: Annotated[int, Meta(ge=10, le=600_000)] = 15_000
+    stream_silence_ms: Annotated[int, Meta(ge=10, le=600_000)] = 10_000
+    answer_margin_ms: Annotated[int, Meta(ge=0, le=60_000)] = 100
+    cancel_confirm_ms: Annotated[int, Meta(ge=0, le=5_000)] = 20
+    pool_idle_ms: Annotated[int, Meta(ge=0, le=600_000)] = 4_000
+    drain_ms: Annotated[int, Meta(ge=0, le=600_000)] = 20_000
+
+
+class Node(_Strict, frozen=True):
+    """All settings of one node."""
+
+    models: Annotated[tuple[Model, ...], Meta(min_length=1)]
+    classes: Annotated[tuple[RequestClass, ...], Meta(min_length=1)]
+    kinds: Annotated[tuple[Kind, ...], Meta(min_length=1)]
+    source: Source
+    listen: Listen = Listen()
+    rules: tuple[Rule, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    any_key: bool = False  # take requests with any key, or none, as the first tenant's
+    routing: Routing = Routing()
+    limits: Limits = Limits()
+    timing: Timing = Timing()
+    state_dir: str = ""  # where the server list is kept for a restart; none where empty
+    log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
