--- a/stonetrack/cli/main.py
+++ b/stonetrack/cli/main.py
@@ -21,5 +21,6 @@
     serving.instance,
     trying.standin,
     trying.demo,
+    trying.day,
 ):
     main.add_command(command)
--- a/stonetrack/cli/trying.py
+++ b/stonetrack/cli/trying.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import os
 import subprocess
 import sys
 import tempfile
@@ -98,3 +99,22 @@
     finally:
         engines.stop()
     sys.exit(code)
+
+
+@click.group()
+def day() -> None:
+    """Scripted bad days: run one against real nodes and judge it, or make one from a bench day."""
+
+
+@day.command("run")
+@click.argument("file", type=FILE)
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--report", type=click.Path(file_okay=False, path_type=Path), required=True, help="Folder for logs and the page."
+)
+@click.option("--quiet", is_flag=True, help="No progress.")
+def day_run(file: Path, seed: int, report: Path, quiet: bool) -> None:
+    """Run a day and judge the five rules from what passed on the sockets; exit code 1 on a broken rule."""
+    from stonetrack.day.run import run_day
+
+    sys.exit(run_day(file, seed, report, progress=not quiet and os.isatty(2)))
--- /dev/null
+++ b/stonetrack/day/run.py
@@ -0,0 +1,258 @@
+"""Runs a day: stand-ins and the node as processes of their own, clients and troubles from here, then the judge.
+
+Everything is on loopback, bounded in time, and ended at the end, whatever happened.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from stonetrack.day.judge import Judge, Terms, Verdict
+from stonetrack.day.load import Load, Seen, kill, schedule
+from stonetrack.day.page import write_page
+from stonetrack.day.script import Day, Step, load_day, plan
+from stonetrack.engines.errands import CallFailed, call
+from stonetrack.settings import Node, SettingsError, parse
+from stonetrack.standin.host import Fleet
+from stonetrack.standin.tap import read
+from stonetrack.wire import writer
+
+QUIET = 1.5  # seconds after the last answer in which things must be let go of
+
+
+def node_settings(day: Day, list_url: str, state_dir: Path) -> dict[str, Any]:
+    """The node's settings for a day, as JSON holds them; the day's own win."""
+    extended = {"release": True, "hold": True}
+    memory = {spec.role: spec.memory_tokens for spec in day.engines}
+    base: dict[str, Any] = {
+        "models": [{"name": "demo"}],
+        "classes": [
+            {
+                "name": t.name,
+                "first_token_ms": t.aim_ms,
+                "first_token_ms_per_1000": t.aim_ms_per_1000,
+                "deadline_ms": t.deadline_ms,
+                "worth": t.worth,
+                "late_worth": t.late_worth,
+                "effect": t.effect,
+                "key_window_ms": 60_000 if t.effect == "keyed" else 0,
+            }
+            for t in day.clients.classes
+        ],
+        "rules": [{"to": t.name, "header": {"name": "X-Class", "value": t.name}} for t in day.clients.classes],
+        "kinds": [
+            {"name": role.value, "role": role.value, "memory_tokens": tokens, **extended}
+            for role, tokens in memory.items()
+        ],
+        "tenants": [{"name": "day"}],
+        "any_key": True,
+        "source": {"url": list_url, "wait_ms": 2_000},
+        "listen": {"port": 0},
+        "routing": {"may_hold_place": True, "routers": day.instances},
+        "timing": {"drain_ms": 4_000},
+        "state_dir": str(state_dir),
+    }
+    return _merged(base, day.settings)
+
+
+def _merged(base: dict[str, Any], more: dict[str, Any]) -> dict[str, Any]:
+    made = dict(base)
+    for name, value in more.items():
+        both = isinstance(value, dict) and isinstance(made.get(name), dict)
+        made[name] = _merged(made[name], value) if both else value
+    return made
+
+
+@dataclass
+class Process:
+    """A program of ours that says ``ready URL``."""
+
+    running: subprocess.Popen[str]
+    url: str
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port."""
+        host, _, port = self.url.removeprefix("http://").partition("/")[0].rpartition(":")
+        return host, int(port)
+
+
+@contextlib.contextmanager
+def program(*arguments: str, grace: float = 15.0) -> Iterator[Process]:
+    """Run ``stonetrack`` with some arguments until the block ends."""
+    running = subprocess.Popen(
+        [sys.executable, "-m", "stonetrack", *arguments], stdout=subprocess.PIPE, stdin=subprocess.DEVNULL, text=True
+    )
+    try:
+        line = running.stdout.readline() if running.stdout else ""
+        if not line.startswith("ready "):
+            raise RuntimeError(f"stonetrack {arguments[0]} did not start (it said {line!r})")
+        yield Process(running, line.split()[1])
+    finally:
+        running.terminate()
+        try:
+            running.wait(grace)
+        except subprocess.TimeoutExpired:
+            running.kill()
+            running.wait()
+
+
+class Troubles(threading.Thread):
+    """Carries out a plan."""
+
+    def __init__(self, steps: list[Step], start: int, control: tuple[str, int], node: Process, log: Path) -> None:
+        super().__init__(name="troubles", daemon=True)
+        self.steps, self.start_at, self.control, self.node, self.log = steps, start, control, node, log
+        self.kills: list[tuple[int, str]] = []
+        self.done: list[tuple[float, str, str]] = []
+        self.failed: list[str] = []
+
+    def run(self) -> None:
+        """Each step at its time."""
+        for step in self.steps:
+            wait = step.at - (time.monotonic_ns() - self.start_at) / 1e9
+            if wait > 0:
+                time.sleep(wait)
+            try:
+                what = self._do(step)
+            except (CallFailed, OSError, ValueError, KeyError) as error:
+                self.failed.append(f"{step.what} {step.engine}: {error}")
+                continue
+            self.done.append(((time.monotonic_ns() - self.start_at) / 1e9, what, step.engine))
+
+    def _do(self, step: Step) -> str:
+        if step.what in ("burst", "new_beginning"):
+            return step.what  # part of the load
+        if step.what == "kill":
+            pid = self.pid(step.instance)
+            self.kills.append((time.monotonic_ns(), f"i{step.instance}"))
+            kill(pid, signal.SIGKILL)
+            return f"kill i{step.instance}"
+        if step.what == "reload":
+            kill(self.node.running.pid, signal.SIGHUP)
+            return "reload"
+        body = msgspec.json.encode({"engine": step.engine, "fault": step.what, **step.args})
+        host, port = self.control
+        request = writer.request("POST", "/fault", [("Host", host), ("Connection", "close")], body)
+        status, answer = call(host, port, request, 5.0)
+        if status != 200:
+            raise ValueError(answer.decode("utf-8", "replace"))
+        return step.what
+
+    def pid(self, instance: int) -> int:
+        """The process of an instance, by the supervisor's log."""
+        found = None
+        for line in self.log.read_text("utf-8").splitlines():
+            with contextlib.suppress(json.JSONDecodeError):
+                record = json.loads(line)
+                if record.get("event") == "instance ready" and record.get("index") == instance:
+                    found = record["pid"]
+        if found is None:
+            raise KeyError(f"instance {instance} is not in the log")
+        return int(found)
+
+
+@dataclass
+class Played:
+    """A day that was played."""
+
+    day: Day
+    seed: int
+    seen: list[Seen]
+    log: list[dict[str, Any]]
+    kills: list[tuple[int, str]]
+    troubles: list[tuple[float, str, str]]
+    start: int
+    verdict: Verdict
+    node_exit: int | None
+    failed_steps: list[str]
+
+
+def play(day: Day, seed: int, folder: Path, tell: Callable[[str], None]) -> Played:
+    """Play a day and judge it; logs go to ``folder``."""
+    folder.mkdir(parents=True, exist_ok=True)
+    seed += day.seed_offset
+    steps = plan(day, seed)
+    planned = schedule(day.clients, day.seconds, seed, steps)
+    tap_path, node_log, settings_path = folder / "engines.log", folder / "node.log", folder / "settings.json"
+    for path in (tap_path, node_log):
+        path.unlink(missing_ok=True)
+    fleet = Fleet(engines=day.engines, seed=seed, list_delay_ms=day.list_delay_ms)
+    (folder / "fleet.json").write_bytes(msgspec.json.encode(fleet))
+    with program("standin", str(folder / "fleet.json"), "--log", str(tap_path)) as engines:
+        settings: Node = parse(json.dumps(node_settings(day, engines.url, folder / "state")))
+        settings_path.write_bytes(msgspec.json.encode(settings))
+        with program("serve", str(settings_path), "--instances", str(day.instances), "--log", str(node_log)) as node:
+            load = Load(*node.address, day.clients, planned, seed)
+            start = time.monotonic_ns()
+            troubles = Troubles(steps, start, engines.address, node, node_log)
+            troubles.start()
+            shown = [0.0]
+
+            def tick(count: int) -> None:
+                if time.monotonic() - shown[0] > 0.5:
+                    shown[0] = time.monotonic()
+                    tell(f"\r{day.name}: {count} of {len(planned)} requests")
+
+            seen = load.run(tick)
+            troubles.join(10.0)
+            time.sleep(QUIET)
+        node_exit = node.running.returncode
+    tell("\n")
+    log = read(tap_path)
+    # Rule 5's clock stops when the node was told to stop; what it still held then, it had to let go of before.
+    routing = settings.routing
+    terms = Terms(grace=routing.drain_grace_ms * 1_000_000, release_within=routing.release_within_ms * 1_000_000)
+    verdict = Judge(seen, log, troubles.kills, day.clients.classes, terms).verdict()
+    (folder / "clients.log").write_bytes(b"\n".join(msgspec.json.encode(s) for s in seen) + b"\n")
+    return Played(day, seed, seen, log, troubles.kills, troubles.done, start, verdict, node_exit, troubles.failed)
+
+
+def run_day(path: Path, seed: int, folder: Path, progress: bool) -> int:
+    """Play a file's day; 0 where every rule was kept, 1 where not, 2 for a file that can't be used."""
+    try:
+        day = load_day(path)
+    except SettingsError as error:
+        click.echo(str(error), err=True)
+        return 2
+    played = play(
+        day, seed, folder, (lambda text: click.echo(text, nl=False, err=True)) if progress else lambda _: None
+    )
+    page = write_page(played, folder)
+    click.echo(summary(played))
+    click.echo(f"report {page}")
+    return 0 if played.verdict.kept and not played.failed_steps else 1
+
+
+def summary(played: Played) -> str:
+    """The verdict in a few lines."""
+    verdict = played.verdict
+    counts = ", ".join(
+        f"{n} {name}" for name, n in sorted(verdict.counts.items()) if name not in ("requests", "attempts")
+    )
+    lines = [
+        f"{played.day.name}, seed {played.seed}: {verdict.counts['requests']} requests, "
+        f"{verdict.counts['attempts']} attempts ({counts})",
+        f"service {verdict.service:.3f} ({', '.join(f'{k} {v:.3f}' for k, v in verdict.service_by_class.items())})",
+        "nearest to each bound: " + ", ".join(f"{name} {value:.2f}" for name, value in verdict.margins.items()),
+    ]
+    lines += [f"trouble not carried out: {text}" for text in played.failed_steps]
+    if verdict.kept:
+        lines.append(f"rules kept ({verdict.excused} excused by kills)")
+    else:
+        lines.append(f"{len(verdict.breaches)} breaches:")
+        lines += [f"  {breach}" for breach in verdict.breaches[:20]]
+    return "\n".join(lines)
--- /dev/null
+++ b/stonetrack/day/script.py
@@ -0,0 +1,147 @@
+"""The scenario of a bad day: fleet, node, clients and troubles, as a Jsonnet file gives them.
+
+Times are milliseconds from the start of the load.  A trouble names its engine, or lets the seed pick some of a role;
+``jitter_ms`` moves it by the seed.  Nothing here runs anything: :func:`plan` turns a day and a seed into a list of
+dated steps, the same list every time.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+from stonetrack.api import Role
+from stonetrack.settings import SettingsError, evaluate
+from stonetrack.settings.check import Problem
+from stonetrack.standin.engine import Spec
+from stonetrack.standin.host import FAULTS
+
+INSTANCE_TROUBLES = ("kill", "reload")
+LOAD_TROUBLES = ("burst", "new_beginning")
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+
+
+class _Strict(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A struct that refuses unknown fields."""
+
+
+class Traffic(_Strict, frozen=True, kw_only=True):
+    """One class of requests as clients make them; lengths in tokens."""
+
+    name: str
+    share: float = 1.0
+    worth: float = 1.0
+    late_worth: Share = 0.0
+    aim_ms: int = 2_000
+    aim_ms_per_1000: int = 40
+    deadline_ms: int = 6_000
+    effect: str = "safe"
+    turns: tuple[int, int] = (1, 4)
+    beginning: tuple[int, int] = (100, 800)
+    beginnings: int = 4
+    turn_tokens: tuple[int, int] = (20, 120)
+    max_tokens: int = 24
+
+
+class Clients(_Strict, frozen=True, kw_only=True):
+    """How clients behave."""
+
+    rate: float = 40.0  # new requests a second
+    classes: tuple[Traffic, ...]
+    sessions: int = 40
+    plain: Share = 0.15
+    kserve: Share = 0.1
+    leave_at_first: Share = 0.03
+    leave_early: Share = 0.03
+    slow: Share = 0.01
+    retries: int = 1
+    retry_ms: int = 300
+
+
+class Trouble(_Strict, frozen=True, kw_only=True):
+    """One trouble; what else it needs stands in ``args``."""
+
+    at_ms: int
+    what: str
+    engines: tuple[str, ...] = ()
+    role: Role | None = None
+    count: Annotated[int, Meta(ge=1)] = 1
+    instance: int = 0
+    jitter_ms: int = 0
+    args: dict[str, Any] = {}
+
+
+class Day(_Strict, frozen=True, kw_only=True):
+    """A whole day."""
+
+    name: str
+    seconds: Annotated[float, Meta(gt=0.0, le=3_600.0)]
+    instances: Annotated[int, Meta(ge=1, le=64)] = 3
+    engines: tuple[Spec, ...]
+    clients: Clients
+    troubles: tuple[Trouble, ...] = ()
+    list_delay_ms: float = 300.0
+    settings: dict[str, Any] = {}
+    seed_offset: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One dated trouble; ``at`` in seconds from the start of the load."""
+
+    at: float
+    what: str
+    engine: str
+    instance: int
+    args: dict[str, Any]
+
+
+def load_day(path: Path) -> Day:
+    """A day from a file.  Raises SettingsError naming what is wrong and what is allowed."""
+    try:
+        day = msgspec.json.decode(evaluate(path), type=Day)
+    except msgspec.DecodeError as error:
+        message, _, at = str(error).partition(" - at `")
+        raise SettingsError([Problem(at.rstrip("`") or "$", "this file", message)], str(path)) from None
+    wrong = list(_problems(day))
+    if wrong:
+        raise SettingsError(wrong, str(path))
+    return day
+
+
+def _problems(day: Day) -> list[Problem]:
+    wrong = []
+    names = {spec.name for spec in day.engines}
+    allowed = (*FAULTS, *INSTANCE_TROUBLES, *LOAD_TROUBLES)
+    for n, trouble in enumerate(day.troubles):
+        at = f"$.troubles[{n}]"
+        if trouble.what not in allowed:
+            wrong.append(Problem(f"{at}.what", trouble.what, ", ".join(allowed)))
+        for engine in trouble.engines:
+            if engine not in names:
+                wrong.append(Problem(f"{at}.engines", engine, ", ".join(sorted(names))))
+        if trouble.what == "kill" and trouble.instance >= day.instances:
+            wrong.append(Problem(f"{at}.instance", trouble.instance, f"0 to {day.instances - 1}"))
+    if len(names) != len(day.engines):
+        wrong.append(Problem("$.engines", "a name that stands twice", "each name once"))
+    return wrong
+
+
+def plan(day: Day, seed: int) -> list[Step]:
+    """The day's troubles in order of time, picks and jitter drawn by the seed."""
+    draw = random.Random(f"{day.name}/{seed}")
+    steps = []
+    for trouble in day.troubles:
+        at = (trouble.at_ms + draw.uniform(-1.0, 1.0) * trouble.jitter_ms) / 1_000.0
+        picked: list[str] = list(trouble.engines)
+        if trouble.what in FAULTS and trouble.what != "list_late" and not picked:
+            pool = [s.name for s in day.engines if trouble.role is None or s.role is trouble.role]
+            picked = draw.sample(pool, min(trouble.count, len(pool)))
+        for engine in picked or [""]:
+            steps.append(Step(max(at, 0.0), trouble.what, engine, trouble.instance, dict(trouble.args)))
+    return sorted(steps, key=lambda step: step.at)
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -67,6 +67,8 @@
         role = engine.kind.role
         if state is not None and role is api.Role.READER:
             state = None
+        if role is not api.Role.READER:
+            self.errands.past(ask.request)
         request = protocol.chat_request(
             ask, role, f"{engine.host}:{engine.port}", number, self._instance, state, place, engine.kind.load_header
         )
@@ -89,9 +91,9 @@
                 return event
         return attempt
 
-    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """See ``ports.Engines.hold``."""
-        self.errands.hold(request, server, answer)
+        self.errands.hold(request, server, number, answer)
 
     def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
         """See ``ports.Engines.release``."""
--- a/stonetrack/engines/errands.py
+++ b/stonetrack/engines/errands.py
@@ -9,6 +9,7 @@
 import queue
 import threading
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -66,6 +67,17 @@
         sock.close()
 
 
+@dataclass(slots=True)
+class _Hold:
+    """A place that is asked for."""
+
+    server: str
+    number: int  # attempt during which it was asked
+    sent: bool = False
+    dropped: bool = False
+    then: Callable[[], None] | None = None  # instead of telling the answer
+
+
 class Errands:
     """Runs the calls on ``threads`` threads, with at most ``most`` waiting."""
 
@@ -86,7 +98,7 @@
         self._jobs: queue.Queue[Callable[[], None] | None] = queue.Queue(most)
         self._book = ReleaseBook(give_up=20 * release_within)
         self._book_lock = threading.Condition(threading.Lock())
-        self._holding: dict[str, Callable[[], None] | None] = {}  # request: what follows the answer
+        self._holding: dict[str, _Hold] = {}  # places asked for and not answered yet, by request
         self._hold_lock = threading.Lock()
         self._stopping = False
         self.dropped = 0
@@ -167,16 +179,21 @@
 
     # Places.
 
-    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
-        """Ask a writer for a place; ``answer`` is called unless it can't be heard."""
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
+        """Ask a writer for a place; ``answer`` is called unless it can't be heard or is no longer wanted."""
+        asked = _Hold(server, number)
         with self._hold_lock:
-            self._holding[request] = None
-        if not self._submit(lambda: self._hold(request, server, answer)):
+            self._holding[request] = asked
+        if not self._submit(lambda: self._hold(request, asked, answer)):
             with self._hold_lock:
                 self._holding.pop(request, None)
 
-    def _hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
-        engine = self._find(server)
+    def _hold(self, request: str, asked: _Hold, answer: Callable[[bool], None]) -> None:
+        with self._hold_lock:
+            if asked.dropped:
+                return
+            asked.sent = True
+        engine = self._find(asked.server)
         heard: bool | None = None
         if engine is not None and engine.kind.hold:
             try:
@@ -184,31 +201,53 @@
             except CallFailed:
                 heard = None  # not heard: it may hold one, so a release still goes there
         with self._hold_lock:
-            follows = self._holding.pop(request, None)
+            if self._holding.get(request) is asked:
+                del self._holding[request]
+            follows = asked.then
         if follows is not None:
             follows()
         elif heard is not None:
             answer(heard)
 
+    def past(self, request: str) -> None:
+        """The request goes to a writer now: a place not asked for yet is not, one asked for and not answered yet may
+        come too late to be used and is let go of after its answer."""
+        with self._hold_lock:
+            if (asked := self._drop_hold(request)) is not None:
+                asked.then = lambda: self._add_releases(
+                    [Item(request, asked.server, asked.number, None, self._clock())]
+                )
+
+    def _drop_hold(self, request: str) -> _Hold | None:
+        """Take back a place not asked for yet; the one that is being asked for, if any.  Under the lock."""
+        asked = self._holding.get(request)
+        if asked is None or asked.sent:
+            return asked
+        asked.dropped = True
+        del self._holding[request]
+        return None
+
     # Releases.
 
     def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
         """Let go of a state and a place, with repeats."""
+        now = self._clock()
+        items = [Item(request, reader, number, state or {}, now)] if reader else []
+        if place:
+            let_go = Item(request, place, number, None, now)
+            with self._hold_lock:
+                asked = self._drop_hold(request)
+                if asked is not None and asked.server == place:
+                    asked.then = lambda: self._add_releases([let_go])
+                else:
+                    items.append(let_go)
+        self._add_releases(items)
 
-        def go() -> None:
-            now = self._clock()
-            with self._book_lock:
-                if reader:
-                    self._book.add(Item(request, reader, number, state or {}, now))
-                if place:
-                    self._book.add(Item(request, place, number, None, now))
-                self._book_lock.notify(2)
-
-        with self._hold_lock:
-            if place and request in self._holding:
-                self._holding[request] = go
-                return
-        go()
+    def _add_releases(self, items: list[Item]) -> None:
+        with self._book_lock:
+            for item in items:
+                self._book.add(item)
+            self._book_lock.notify(len(items))
 
     def _releases(self) -> None:
         while True:
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -241,7 +241,7 @@
         from stonetrack.api import PlaceAnswer
 
         request, number, core = self.life.ask.request, self.life.number, self.core
-        self.engines.hold(request, server, lambda held: core.tell(PlaceAnswer(request, number, server, held)))
+        self.engines.hold(request, server, number, lambda held: core.tell(PlaceAnswer(request, number, server, held)))
 
 
 __all__ = ["Bounds", "Drive", "Outcome", "Waker"]
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -19,6 +19,9 @@
 - Exactly one ``Finish`` leaves this machine, none after the client has gone; ``Tell`` of an attempt's end follows the
   ``Finish`` that it causes, so that the router never books an answer that was not given.
 - After ``Release`` nothing is held; with the first token what was held has gone by itself (the engines' protocol).
+- A place is good for one send to its writer.  When the request is sent elsewhere, or that send comes to nothing, it is
+  let go of here: the router, which counts places only, takes it as gone from the send on.
+- A read that ended uncertainly may have left a state that nobody was told of; it is let go of by its attempt's number.
 """
 
 from __future__ import annotations
@@ -172,7 +175,8 @@
                 self.limit_at = now + limit if limit else 0
                 # The state goes along to any server but the reader that returned it.
                 state = self.state if server != self.reader else None
-                return [Start(server, self.number, state, place=self.place == server, limit=limit)]
+                elsewhere = self._let_go_place() if self.place and self.place != server else []
+                return [*elsewhere, Start(server, self.number, state, place=self.place == server, limit=limit)]
             case api.HoldPlace(_, server):
                 self.place = server
                 return [Hold(server)]
@@ -204,6 +208,10 @@
         self.reader, self.state, self.place = "", None, ""
         return [effect]
 
+    def _let_go_place(self) -> list[Effect]:
+        place, self.place = self.place, ""
+        return [LetGo("", None, place, self.number)]
+
     # What happened.
 
     def attempt(self, event: ports.AttemptEvent, now: int) -> list[Effect]:
@@ -241,7 +249,10 @@
             raise LifeError(f"request {self.ask.request}: served without a beginning")
         if outcome is api.Outcome.READ:
             self.reader, self.state = self.server, over.state
-        elif outcome in _UNCERTAIN and not streamed and self.server != self.reader:
+        elif self.place == self.server:
+            # The place was for this attempt, which did not come to use it, or nobody knows.
+            effects += self._let_go_place()
+        if outcome in _UNCERTAIN and not streamed and self.server != self.reader:
             # It may have been read and the answer lost: a state would wait there that nobody knows of.
             effects.append(LetGo(self.server, None, "", self.number))
         effects.append(
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -185,8 +185,9 @@
         ``may_send`` is asked again right before the first byte is written.
         """
 
-    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
-        """Ask a writer for a place, in the background; ``answer`` gets whether it holds one."""
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
+        """Ask a writer for a place, in the background, during attempt ``number``; ``answer`` gets whether it holds
+        one.  A place that comes after the request went on is let go of by the engines' side itself."""
 
     def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
         """Let go of a state and a place, in the background, with repeats within the time allowed.
