--- a/stonetrack/day/run.py
+++ b/stonetrack/day/run.py
@@ -210,13 +210,13 @@
             seen = load.run(tick)
             troubles.join(10.0)
             time.sleep(QUIET)
+            until = time.monotonic_ns()
         node_exit = node.running.returncode
     tell("\n")
     log = read(tap_path)
-    # Rule 5's clock stops when the node was told to stop; what it still held then, it had to let go of before.
     routing = settings.routing
     terms = Terms(grace=routing.drain_grace_ms * 1_000_000, release_within=routing.release_within_ms * 1_000_000)
-    verdict = Judge(seen, log, troubles.kills, day.clients.classes, terms).verdict()
+    verdict = Judge(seen, log, troubles.kills, day.clients.classes, terms, until).verdict()
     (folder / "clients.log").write_bytes(b"\n".join(msgspec.json.encode(s) for s in seen) + b"\n")
     return Played(day, seed, seen, log, troubles.kills, troubles.done, start, verdict, node_exit, troubles.failed)
 
--- a/stonetrack/fronts/chat.py
+++ b/stonetrack/fronts/chat.py
@@ -169,7 +169,7 @@
         raise ApiError(404, f"the model {name[:100]!r} does not exist", param="model", code="model_not_found")
 
     def ask(
-        self, request_id: str, request: Request, tenant: int, parsed: ChatRequest, body: dict[str, Any]
+        self, request_id: str, request: Request, tenant: int, parsed: ChatRequest, body: dict[str, Any], whole: bool
     ) -> ports.Ask:
         """The node's view of a chat; ``body`` is what the engines are sent.  Raises ApiError."""
         settings, headers = self.service.settings, request.head.headers
@@ -198,6 +198,7 @@
             parsed.max_completion_tokens or parsed.max_tokens or 0,
             tenant,
             key,
+            whole=whole,
             repeated=retried.isdecimal() and retried != "0",
         )
 
@@ -249,7 +250,7 @@
         parsed = parse(raw)
         raw["model"] = self.admission.engine_model(parsed.model)
         request_id = new_id("chatcmpl-")
-        ask = self.admission.ask(request_id, request, tenant, parsed, raw)
+        ask = self.admission.ask(request_id, request, tenant, parsed, raw, not parsed.stream)
         headers, flags = self.admission.headers(request_id), self.admission.flags(ask)
         created = self.service.clock() // 1_000_000_000
         sink: HttpSink
--- a/stonetrack/fronts/errors.py
+++ b/stonetrack/fronts/errors.py
@@ -63,7 +63,9 @@
             if late:
                 return ApiError(504, f"no answer in time: {why}", "server_error", code="timeout", headers=never)
             return ApiError(502, f"the request failed: {why}", "server_error", code="engine_failed", headers=never)
-        case ports.Broken(why):
+        case ports.Broken(why, late):
+            if late:
+                return ApiError(504, f"the answer broke off: {why}", "server_error", code="timeout", headers=never)
             return ApiError(502, f"the answer broke off: {why}", "server_error", code="stream_broken", headers=never)
         case ports.Rejected(status, error):
             return ApiError(
--- a/stonetrack/fronts/kserve.py
+++ b/stonetrack/fronts/kserve.py
@@ -199,7 +199,7 @@
         most = asked.parameters.max_tokens if asked.parameters else None
         parsed = ChatRequest(model=name, messages=[Message("user", asked.text_input)], max_tokens=most)
         request_id = new_id("gen-")
-        ask = self.admission.ask(request_id, request, tenant, parsed, body)
+        ask = self.admission.ask(request_id, request, tenant, parsed, body, not stream)
         sink_type = GenerateStream if stream else GenerateWhole
         sink: GenerateStream | GenerateWhole = sink_type(
             connection, request, self.admission.headers(request_id), *self.admission.flags(ask)
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -70,7 +70,7 @@
 
     def __init__(self, core: Core, engines: Engines, bounds: Bounds, ask: Ask, sink: Sink, waker: Waker) -> None:
         self.core, self.engines, self.bounds, self.sink, self.waker = core, engines, bounds, sink, waker
-        self.life = Life(ask, bounds.stream_silence)
+        self.life = Life(ask, bounds.stream_silence, core.clock())
         self.attempt: Attempt | None = None
         self.late: deque[Over] = deque()  # outcomes of attempts that ended at once
         self.progress = 0  # when the client last took a byte
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -18,6 +18,7 @@
   not begun is only aborted on ``Cancel``: whether that is allowed is the router's knowledge.
 - Exactly one ``Finish`` leaves this machine, none after the client has gone; ``Tell`` of an attempt's end follows the
   ``Finish`` that it causes, so that the router never books an answer that was not given.
+- A streamed answer that has begun has met the client's time; a whole one is due by then as a whole.
 - After ``Release`` nothing is held; with the first token what was held has gone by itself (the engines' protocol).
 - A place is good for one send to its writer.  When the request is sent elsewhere, or that send comes to nothing, it is
   let go of here: the router, which counts places only, takes it as gone from the send on.
@@ -131,13 +132,15 @@
         "server",
         "silence",
         "silent_at",
+        "whole_by",
         "stage",
         "state",
         "timed_out",
     )
 
-    def __init__(self, ask: ports.Ask, silence: int) -> None:
+    def __init__(self, ask: ports.Ask, silence: int, now: int = 0) -> None:
         self.ask = ask
+        self.whole_by = now + ask.time_left if ask.whole else 0  # when a whole answer is due; 0 for a streamed one
         self.stage = Stage.WAITING
         self.gone = False  # the client
         self.answered = False  # a final answer was given
@@ -160,7 +163,9 @@
 
     def due(self) -> int:
         """When :meth:`time` must be called next; 0 for never."""
-        return self.silent_at if self.stage is Stage.STREAMING else self.limit_at if self.stage is Stage.OUT else 0
+        if self.stage is Stage.STREAMING:
+            return min(self.silent_at, self.whole_by) if self.whole_by else self.silent_at
+        return self.limit_at if self.stage is Stage.OUT else 0
 
     # What the router decided.
 
@@ -243,7 +248,7 @@
             effects += self._final(ports.Rejected(*over.rejection))
             finished = True
         elif streamed and not self.answered:
-            final = ports.Served() if outcome is api.Outcome.SERVED else ports.Broken(self._last_why)
+            final = ports.Served() if outcome is api.Outcome.SERVED else ports.Broken(self._last_why, self.timed_out)
             effects += self._final(final)
         elif outcome is api.Outcome.SERVED and not finished:
             raise LifeError(f"request {self.ask.request}: served without a beginning")
@@ -278,7 +283,8 @@
         """Time has passed: end an attempt that has had its time, or a stream that fell silent."""
         if not self.due() or now < self.due():
             return []
-        why = "the engine fell silent within its answer" if self.stage is Stage.STREAMING else "out of time"
+        silent = self.stage is Stage.STREAMING and now >= self.silent_at
+        why = "the engine fell silent within its answer" if silent else "out of time"
         return [Abort(), *self.attempt(ports.Over(api.Outcome.TIMED_OUT, why), now)]
 
     def client_gone(self, now: int) -> list[Effect]:
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -34,6 +34,7 @@
     max_answer_tokens: int = 0
     tenant: int = 0
     key: str = ""  # the client's idempotency key
+    whole: bool = False  # the client sees nothing before the whole answer, which is then due in ``time_left``
     repeated: bool = False
 
 
@@ -108,9 +109,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """The answer broke off after it had begun."""
+    """The answer broke off after it had begun.  ``late`` tells that time ran out."""
 
     why: str = ""
+    late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/stonetrack/standin/host.py
+++ b/stonetrack/standin/host.py
@@ -320,6 +320,7 @@
         conn.instance = head.headers.get("x-stonetrack-instance")
         conn.streaming = False
         conn.job = self._job(head, body)
+        more = {"place": b'"kv_transfer_params"' not in body} if conn.job == "release" else {}
         self.tap.note(
             "request",
             engine=slot.spec.name,
@@ -329,6 +330,7 @@
             conn=conn.key,
             job=conn.job,
             key=head.headers.get("idempotency-key"),
+            **more,
         )
         if slot.frozen:
             conn.later.append((head, body))
@@ -361,7 +363,7 @@
         elif conn.job == "hold":
             held = engine.hold(conn.busy)
             if held:
-                self.tap.note("place", engine=slot.spec.name, id=conn.busy)
+                self.tap.note("place", engine=slot.spec.name, id=conn.busy, instance=conn.instance)
             self._reply(conn, 200 if held else 409, b"{}")
         elif conn.job == "release":
             place = "kv_transfer_params" not in raw
