--- a/stonetrack/engines/errands.py
+++ b/stonetrack/engines/errands.py
@@ -132,8 +132,9 @@
         """States and places not let go of yet."""
         return len(self._book)
 
-    def _headers(self, engine: Engine, request: str) -> list[tuple[str, str]]:
+    def _headers(self, engine: Engine, request: str, number: int = 0) -> list[tuple[str, str]]:
         return [
+            ("X-Attempt", str(number)),
             ("Host", f"{engine.host}:{engine.port}"),
             ("Content-Type", "application/json"),
             ("X-Request-Id", request),
@@ -141,8 +142,8 @@
             ("Connection", "close"),
         ]
 
-    def _post(self, engine: Engine, target: str, request: str, body: dict[str, Any]) -> int:
-        message = writer.request("POST", target, self._headers(engine, request), msgspec.json.encode(body))
+    def _post(self, engine: Engine, target: str, request: str, number: int, body: dict[str, Any]) -> int:
+        message = writer.request("POST", target, self._headers(engine, request, number), msgspec.json.encode(body))
         return call(engine.host, engine.port, message, self._timeout)[0]
 
     def _work(self) -> None:
@@ -197,7 +198,11 @@
         heard: bool | None = None
         if engine is not None and engine.kind.hold:
             try:
-                heard = self._post(engine, protocol.HOLD, request, {"request_id": request}) in (200, 202, 204)
+                heard = self._post(engine, protocol.HOLD, request, asked.number, {"request_id": request}) in (
+                    200,
+                    202,
+                    204,
+                )
             except CallFailed:
                 heard = None  # not heard: it may hold one, so a release still goes there
         with self._hold_lock:
@@ -275,6 +280,6 @@
         if item.state is not None:
             body["kv_transfer_params"] = item.state
         try:
-            return self._post(engine, protocol.RELEASE, item.request, body) in (200, 202, 204, 404)
+            return self._post(engine, protocol.RELEASE, item.request, item.number, body) in (200, 202, 204, 404)
         except CallFailed:
             return False
--- a/stonetrack/engines/listing.py
+++ b/stonetrack/engines/listing.py
@@ -119,7 +119,7 @@
         if not line.name or len(line.name) > 200 or not line.name.isprintable():
             raise ListError(f"{at}: name: 1 to 200 printable characters are allowed")
         host, colon, port = line.address.rpartition(":")
-        if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        if not colon or not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65_536:
             raise ListError(f"{at}: address {line.address!r}; allowed: host:port")
         if line.kind not in self._kinds:
             raise ListError(f"{at}: kind {line.kind!r}; allowed: {', '.join(self._kinds)}")
--- a/stonetrack/fronts/classify.py
+++ b/stonetrack/fronts/classify.py
@@ -121,7 +121,7 @@
     allowed = settings.classes[class_index].deadline_ms * MS
     text = headers.get(TIME_HEADER)
     if text:
-        if not text.isdecimal() or len(text) > 9 or int(text) < 1:
+        if not (text.isascii() and text.isdecimal()) or len(text) > 9 or int(text) < 1:
             raise BadTimeLeft(f"header {TIME_HEADER}: {text[:40]!r}; allowed: milliseconds from 1 to 999999999")
         allowed = min(allowed, int(text) * MS)
     margin = min(settings.timing.answer_margin_ms * MS, allowed // 4)
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -1,7 +1,7 @@
 """Clients' connections: the only sockets and threads of the fronts.
 
 - One thread accepts.  It shares the listening socket with the other instances, so that what no instance has
-  accepted yet is lost with none of them.
+  accepted yet is lost with none of them, and each is served in turn.
 - One thread parks: every connection without a whole request waits there in one epoll set and costs no thread.  What
   comes is read and fed to the connection's parser; slow senders and idle clients take memory only.
 - A worker thread runs each whole request to its end.  There are as many as run now, up to a bound; they stay for a
@@ -19,6 +19,7 @@
 import queue
 import select
 import socket
+import struct
 import threading
 import time
 from collections import deque
@@ -34,6 +35,8 @@
 _BODY_TOTAL = 256 << 20  # bytes of bodies not yet whole, over all connections
 _LINGER_MS = 2  # a worker waits so long for the next request before it parks the connection
 _WORKER_IDLE = 15.0  # seconds
+_LOOK_UP = struct.pack("ll", 0, 200_000)  # the acceptor looks up so often: seconds, microseconds
+_FRESH = 1_000_000_000  # nanoseconds in which a new connection's first request is waited for while draining
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -61,10 +64,14 @@
         "reader",
         "sock",
         "held",
+        "host",
+        "served",
     )
 
-    def __init__(self, sock: socket.socket, limits: http1.Limits) -> None:
+    def __init__(self, sock: socket.socket, limits: http1.Limits, host: Host) -> None:
         self.sock = sock
+        self.host = host
+        self.served = 0  # requests taken
         self.reader = http1.MessageReader(http1.Side.REQUESTS, limits)
         self.pending = bytearray()  # written by us, not yet taken by the socket
         self.parked_at = self.begun_at = 0  # monotonic ns: since idle; since the first byte of a request
@@ -95,9 +102,15 @@
             elif isinstance(event, http1.End) and self._head is not None:
                 request = Request(self._head, b"".join(self._body), self._head_at)
                 self._head, self._body, self.begun_at, self.held = None, [], 0, 0
+                self.served += 1
                 return request
         return None
 
+    @property
+    def last(self) -> bool:
+        """Whether the instance is about to stop: answers say that the connection closes."""
+        return self.host.draining
+
     @property
     def in_body(self) -> bool:
         """Whether a head has come and its body not yet."""
@@ -180,7 +193,6 @@
         self.limits, self.timing = limits, timing
         self._handle, self._refuse, self._log = handle, refuse, log
         self._wire = http1.Limits(head=limits.head_bytes, headers=limits.headers, body=limits.body_bytes)
-        self._stop = Waker()
         self._epoll = select.epoll()
         self._parked: dict[int, Connection] = {}
         self._returning: deque[Connection] = deque()  # from workers, to be parked
@@ -195,13 +207,15 @@
         self._held = 0  # bytes of bodies not yet whole
         self.draining = False
         self._spare: int | None = None
+        self._said = 0.0  # when the log was told of missing descriptors
         self._accepted = threading.Thread(target=self._accept, name="accept", daemon=True)
         self._parking = threading.Thread(target=self._park, name="park", daemon=True)
         self._done = threading.Event()
 
     def start(self) -> None:
         """Start accepting."""
-        self.listener.setblocking(False)
+        self.listener.setblocking(True)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, _LOOK_UP)
         self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         self._accepted.start()
         self._parking.start()
@@ -209,7 +223,6 @@
     def drain(self) -> None:
         """Accept nothing more and close what is idle; requests under way go on."""
         self.draining = True
-        self._stop.wake()
         if self._accepted.ident is not None:
             self._accepted.join(2.0)
         self._back.wake()
@@ -227,40 +240,38 @@
     # Accepting.
 
     def _accept(self) -> None:
-        waiting = select.epoll()
-        waiting.register(self.listener.fileno(), select.EPOLLIN | select.EPOLLEXCLUSIVE)
-        waiting.register(self._stop.fd, select.EPOLLIN)
-        with waiting:
-            while not self.draining:
-                if any(fd == self._stop.fd for fd, _ in waiting.poll()):
-                    return
-                self._accept_some()
+        """Accept until told to drain.
 
-    def _accept_some(self) -> None:
-        for _ in range(64):
+        The call blocks in the kernel, where those who wait on one socket are served in turn; waiting in epoll would
+        wake the latest first, and one instance would take nearly all.  A time-out on the socket lets it look up.
+        """
+        while not self.draining:
             try:
                 sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return
+            except (BlockingIOError, InterruptedError):
+                continue
             except OSError as error:
                 if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
                     self._accept_spare(error)
                 elif error.errno in (errno.EBADF, errno.EINVAL):
-                    self.draining = True
-                return
+                    return
+                continue
             if self.connections >= self.limits.connections:
                 self._turn_away(sock, f"all {self.limits.connections} connections are taken")
                 continue
-            sock.setblocking(True)
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                if self.limits.socket_send_bytes:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
             with self._lock:
                 self.connections += 1
-            self._return(Connection(sock, self._wire))
+            self._return(Connection(sock, self._wire, self))
 
     def _accept_spare(self, error: OSError) -> None:
         """Out of descriptors: give up the one in reserve to refuse a client plainly."""
-        self._log(f"out of descriptors: {error}")
+        if time.monotonic() - self._said > 1.0:
+            self._said = time.monotonic()
+            self._log(f"out of descriptors: {error}")
         if self._spare is not None:
             os.close(self._spare)
             self._spare = None
@@ -311,7 +322,7 @@
         except OSError:
             self._close(connection)
             return
-        if self.draining and connection.reader.idle:
+        if self.draining and connection.served and connection.reader.idle:
             self._close(connection)
 
     def _leave(self, connection: Connection) -> None:
@@ -396,7 +407,7 @@
                 if now - connection.begun_at > most * 1_000_000:
                     self._held -= connection.held
                     self._reject(connection, 408, "the request did not come in time")
-            elif self.draining or now - connection.parked_at > timing.idle_ms * 1_000_000:
+            elif now - connection.parked_at > (_FRESH if self.draining else timing.idle_ms * 1_000_000):
                 self._close(connection)
 
     # Working.
--- a/stonetrack/fronts/sinks.py
+++ b/stonetrack/fronts/sinks.py
@@ -79,6 +79,7 @@
     def respond(self, status: int, body: bytes, headers: tuple[tuple[str, str], ...] = ()) -> None:
         """Write one whole response."""
         self.status = status
+        self.keep = self.keep and not self.connection.last
         self.connection.write(plain(status, body, (*self.headers, *headers), keep=self.keep))
 
 
@@ -91,6 +92,7 @@
         """See ``HttpSink``."""
         super().begin()
         self.status = 200
+        self.keep = self.keep and not self.connection.last
         fields = [("Content-Type", "text/event-stream; charset=utf-8"), ("Cache-Control", "no-cache"), *self.headers]
         if self.request.head.chunks and self.keep:
             self._head = writer.streamed(200, fields)
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -16,6 +16,8 @@
 - A ``Send`` while an attempt is out is an error in the program, never carried out: two attempts never overlap.
 - When the client has gone, an attempt that streams is aborted at once (a stream nobody reads ends).  One that has
   not begun is only aborted on ``Cancel``: whether that is allowed is the router's knowledge.
+- A ``Send`` decided in another thread just before the client left is not carried out: its outcome is ``NOT_SENT``, so
+  that the router, which counts it as out, ends the request.
 - Exactly one ``Finish`` leaves this machine, none after the client has gone; ``Tell`` of an attempt's end follows the
   ``Finish`` that it causes, so that the router never books an answer that was not given.
 - A streamed answer that has begun has met the client's time; a whole one is due by then as a whole.
@@ -173,6 +175,12 @@
         """Carry out one action."""
         match action:
             case api.Send(_, server, limit):
+                if self.gone and self.stage is Stage.DONE:
+                    self.number += 1
+                    ended = api.AttemptEnded(
+                        self.ask.request, self.number, server, api.Outcome.NOT_SENT, 0, finished=True
+                    )
+                    return [Tell(ended)]
                 if self.stage is not Stage.WAITING or self.answered:
                     raise LifeError(f"request {self.ask.request}: a send to {server} while {self.stage.value}")
                 self.stage, self.server, self.sent_at = Stage.OUT, server, now
--- a/stonetrack/settings/schema.py
+++ b/stonetrack/settings/schema.py
@@ -135,6 +135,7 @@
     json_depth: Annotated[int, Meta(ge=4, le=500)] = 64
     json_values: Annotated[int, Meta(ge=100, le=10_000_000)] = 100_000
     engine_body_bytes: Annotated[int, Meta(ge=1_024, le=1 << 30)] = 64 << 20
+    socket_send_bytes: Annotated[int, Meta(ge=0, le=64 << 20)] = 128 << 10  # kernel's, for a client; 0: its own choice
     send_buffer_bytes: Annotated[int, Meta(ge=4_096, le=64 << 20)] = 256 << 10
     pool_per_engine: Annotated[int, Meta(ge=0, le=10_000)] = 64
 
