--- a/stonetrack/cli/trying.py
+++ b/stonetrack/cli/trying.py
@@ -118,3 +118,32 @@
     from stonetrack.day.run import run_day
 
     sys.exit(run_day(file, seed, report, progress=not quiet and os.isatty(2)))
+
+
+@day.command("from-bench")
+@click.argument("file", type=FILE)
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="Where the scenario goes; standard output by default.",
+)
+@click.option("--engines", type=click.IntRange(2, 500), default=12, show_default=True)
+@click.option("--instances", type=click.IntRange(1, 64), default=3, show_default=True)
+@click.option("--seconds", type=click.FloatRange(1, 3_600), default=30.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(0.1, 10_000), default=60.0, show_default=True, help="Requests a second.")
+def day_from_bench(file: Path, out: Path | None, engines: int, instances: int, seconds: float, rate: float) -> None:
+    """Turn the troubles of a bench day (JSON) into a scenario for the real node."""
+    from stonetrack.day.bench import BenchError, convert
+
+    try:
+        made, left_out = convert(file.read_bytes(), engines=engines, instances=instances, seconds=seconds, rate=rate)
+    except BenchError as error:
+        click.echo(f"{file}: {error}", err=True)
+        sys.exit(2)
+    text = msgspec.json.format(msgspec.json.encode(made), indent=2).decode() + "\n"
+    if out is None:
+        click.echo(text, nl=False)
+    else:
+        out.write_text(text, "utf-8")
+    for each in left_out:
+        click.echo(f"left out: {each}", err=True)
--- a/stonetrack/day/run.py
+++ b/stonetrack/day/run.py
@@ -226,6 +226,7 @@
 
 def run_day(path: Path, seed: int, folder: Path, progress: bool) -> int:
     """Play a file's day; 0 where every rule was kept, 1 where not, 2 for a file that can't be used."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(143))  # so that what was started is ended
     try:
         day = load_day(path)
     except SettingsError as error:
--- /dev/null
+++ b/tests/test_day.py
@@ -0,0 +1,208 @@
+"""The bad day: scenarios, the judge on made-up logs, a bench day turned into one, and the day itself on two seeds."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from stonetrack.day.bench import BenchError, convert
+from stonetrack.day.judge import Judge, Kill, Terms
+from stonetrack.day.load import Seen, schedule
+from stonetrack.day.script import Day, Traffic, load_day, plan
+from stonetrack.settings import SettingsError
+
+MS = 1_000_000
+DAY = Path(__file__).parent.parent / "stonetrack" / "day" / "bad-day.jsonnet"
+SAFE, UNSAFE = Traffic(name="safe"), Traffic(name="unsafe", effect="unsafe")
+TERMS = Terms(grace=250 * MS, release_within=500 * MS, slack=100 * MS, order_slack=10 * MS)
+
+
+def seen(request: str = "q", **more: Any) -> Seen:
+    base: dict[str, Any] = {
+        "number": 1, "cls": "safe", "how": "stream", "behaviour": "normal", "retry": 0, "worth": 1.0, "request": request,
+        "sent": 0, "deadline": 3_000 * MS, "aim": 1_000 * MS, "head": 100 * MS, "first": 100 * MS, "end": 2_000 * MS,
+        "ended": "served", "done_events": 1}  # fmt: skip
+    return Seen(**{**base, **more})
+
+
+def rec(t: int, what: str, **more: Any) -> dict[str, Any]:
+    return {"t": t * MS, "what": what, **more}
+
+
+def sent(t: int, engine: str, job: str, n: int = 0, conn: int = 0, request: str = "q", **more: Any) -> dict[str, Any]:
+    return rec(t, "request", engine=engine, id=request, n=str(n), conn=conn, job=job, instance="i0", key="", **more)
+
+
+def done(t: int, conn: int, engine: str = "r0", status: int = 200) -> dict[str, Any]:
+    return rec(t, "done", engine=engine, id="q", conn=conn, status=status)
+
+
+def rules(
+    saw: list[Seen], log: list[dict[str, Any]], kills: list[Kill] | None = None, until: int = 10_000
+) -> list[int]:
+    verdict = Judge(saw, sorted(log, key=lambda r: r["t"]), kills or [], [SAFE, UNSAFE], TERMS, until * MS).verdict()
+    return [breach.rule for breach in verdict.breaches]
+
+
+GOOD = [
+    sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1),
+    sent(6, "w0", "write", 1, 2), rec(8, "taken", engine="w0", at="r0", id="q"), done(50, 2, "w0"),
+]  # fmt: skip
+
+
+def test_a_good_request_breaks_nothing() -> None:
+    assert rules([seen()], GOOD) == []
+
+
+@pytest.mark.parametrize(
+    ("saw", "log", "broken"),
+    [
+        ([seen(after_end=3)], GOOD, [1]),
+        ([seen(done_events=2)], GOOD, [1]),
+        ([seen(done_events=1, error_events=1)], GOOD, [1]),
+        ([seen(ended="garbled")], GOOD, [1]),
+        ([seen(ended="cut")], GOOD, [1]),
+        ([seen(ended="no answer")], GOOD, [1]),
+        ([seen(head=3_200 * MS)], GOOD, [1]),
+        ([seen(end=4 * MS, head=4 * MS)], [sent(1, "r0", "read", 0, 1), done(3, 1), sent(50, "r1", "read", 1, 2), done(60, 2)], [1]),
+        ([seen()], [sent(1, "r0", "read", 0, 1), sent(3, "r1", "read", 1, 2), done(5, 1), done(9, 2, "r1")], [2]),
+        ([seen()], [sent(1, "r0", "read", 0, 1), sent(3, "r1", "read", 1, 2), done(9, 2, "r1")], [2]),
+        ([seen(cls="unsafe")], [sent(1, "w0", "whole", 0, 1), rec(3, "cut", engine="w0", conn=1, id="q"),
+                                sent(4, "w1", "whole", 1, 2), done(9, 2, "w1")], [2]),
+        ([seen(cls="unsafe", ended="refused")], [sent(1, "w0", "whole", 0, 1), rec(3, "cut", engine="w0", conn=1, id="q")], [2]),
+        ([seen(cls="unsafe")], [sent(1, "w0", "whole", 0, 1), done(3, 1, "w0", 503), sent(4, "w1", "whole", 1, 2),
+                                done(9, 2, "w1")], []),
+        ([seen()], [rec(1, "told", instance="i0", leaving=["w0"], up=["w1"]), sent(200, "w0", "whole", 0, 1), done(210, 1)], []),
+        ([seen()], [rec(1, "told", instance="i0", leaving=["w0"], up=["w1"]), sent(300, "w0", "whole", 0, 1), done(310, 1)], [3]),
+        ([seen()], [rec(1, "told", instance="i0", leaving=[], up=["w0", "w1"]), rec(2, "told", instance="i0", leaving=[], up=["w1"]),
+                    sent(300, "w0", "whole", 0, 1), done(310, 1)], [3]),
+        ([seen()], [rec(1, "told", instance="i0", leaving=["w0"], up=[]), rec(9, "told", instance="i0", leaving=[], up=["w0"]),
+                    sent(300, "w0", "whole", 0, 1), done(310, 1)], []),
+        ([seen()], [rec(1, "told", instance="i1", leaving=["w0"], up=[]), sent(300, "w0", "whole", 0, 1), done(310, 1)], []),
+        ([seen()], [rec(1, "fell", engine="r0")], [4]),
+        ([seen()], [sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1)], [5]),
+        ([seen()], [sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1),
+                    sent(500, "r0", "release", 0, 3, place=False)], []),
+        ([seen()], [sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1),
+                    sent(900, "r0", "release", 0, 3, place=False)], [5]),
+        ([seen()], [sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1),
+                    sent(900, "r0", "release", 2, 3, place=False)], []),  # two refused connections in between
+        ([seen()], [rec(1, "place", engine="w0", id="q", instance="i0")], [5]),
+        ([seen()], [rec(1, "place", engine="w0", id="q", instance="i0"), rec(400, "down", engine="w0", why="crash")], []),
+    ],
+)  # fmt: skip
+def test_each_breach_is_named(saw: list[Seen], log: list[dict[str, Any]], broken: list[int]) -> None:
+    assert rules(saw, log) == broken
+
+
+def test_a_kill_excuses_what_the_killed_instance_held_and_nothing_else() -> None:
+    kill = Kill(1_000 * MS, 1_060 * MS, "i0")
+    assert rules([seen(ended="cut", end=1_050 * MS)], GOOD, [kill]) == []
+    assert rules([seen(ended="cut", sent=1_050 * MS, end=1_070 * MS)], GOOD, [kill]) == []
+    assert rules([seen(ended="cut", end=900 * MS)], GOOD, [kill]) == [1]
+    assert rules([seen(ended="cut", sent=1_500 * MS, end=1_600 * MS)], GOOD, [kill]) == [1]
+    held = [sent(990, "r0", "read", 0, 1), rec(995, "state", engine="r0", id="q"), done(995, 1)]
+    assert rules([], held, [kill]) == []
+    assert rules([], held, [Kill(kill.at, kill.gone, "i1")]) == [5]
+
+
+def test_a_cold_budget_is_reckoned_from_arrivals() -> None:
+    up = rec(0, "up", engine="r0", role="reader", cold=True, started=0, capacity=1_000.0, cold_share=0.25, warm_ms=10_000.0,
+             cold_multiple=3.0, cold_window_ms=1_000.0)  # fmt: skip
+    few = [rec(t, "work", engine="r0", id="q", work=100.0) for t in range(1_000, 3_000, 200)]
+    many = [rec(t, "work", engine="r0", id="q", work=100.0) for t in range(1_000, 3_000, 50)]
+    assert rules([], [up, *few]) == [] and set(rules([], [up, *many])) == {4}
+    assert rules([], [{**up, "cold": False}, *many]) == []
+
+
+def test_a_retry_counts_with_its_first_try() -> None:
+    made = [seen(ended="refused", done_events=0, first=0), seen("q2", retry=1), seen("q3", number=2, first=1_500 * MS)]
+    verdict = Judge(made, [], [], [Traffic(name="safe", late_worth=0.25)], TERMS).verdict()
+    assert verdict.service == pytest.approx((1.0 + 0.25) / 2)
+
+
+# Scenarios.
+
+
+def test_a_plan_and_a_schedule_are_the_same_every_time() -> None:
+    day = load_day(DAY)
+    assert plan(day, 3) == plan(day, 3) != plan(day, 4)
+    steps = plan(day, 3)
+    assert schedule(day.clients, 5.0, 3, steps) == schedule(day.clients, 5.0, 3, steps)
+    assert {s.what for s in steps} >= {
+        "crash", "hang", "slow", "half", "flush", "full", "throttle", "lost", "leave", "pause", "list_late", "kill", "errors",
+        "close_idle"}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ('troubles+: [{ at_ms: 1, what: "flood" }]', "flood"),
+        ('troubles+: [{ at_ms: 1, what: "crash", engines: ["x9"] }]', "x9"),
+        ('troubles+: [{ at_ms: 1, what: "kill", instance: 7 }]', "0 to 2"),
+        ("seconds: -1", "seconds"),
+        ('engines+: [{ name: "r0", role: "reader" }]', "each name once"),
+        ("sed: 1", "sed"),
+    ],
+)
+def test_a_bad_scenario_says_what_is_wrong(tmp_path: Path, change: str, said: str) -> None:
+    path = tmp_path / "day.jsonnet"
+    path.write_text(f"(import '{DAY}') + {{ {change} }}")
+    with pytest.raises(SettingsError) as refused:
+        load_day(path)
+    assert said in str(refused.value)
+
+
+BENCH: dict[str, Any] = {
+    "length": 40e6, "site": "made-up", "drain_grace": 500_000, "fam": {"roles": ["read", "write"]},
+    "classes": [{"name": "a", "aim": 1e6, "deadline": 4e6, "worth": 2.0, "late_worth": 0.2, "effect": "safe", "more": 1}],
+    "servers": [{"kind": n % 2, "cell": n % 3, "up": n < 20} for n in range(24)],
+    "balancers": [{}, {}],
+    "troubles": [
+        {"kind": "crash", "at": 10e6, "len": 5e6, "on": [0, 2, 1]},
+        {"kind": "preempt", "at": 12e6, "len": 4e6, "on": [], "steps": [{"at": 12e6, "stop": [1, 3], "start": [22]}]},
+        {"kind": "burst", "at": 20e6, "len": 3e6, "size": 1.8},
+        {"kind": "balancer_crash", "at": 25e6, "len": 3e6, "on": [0]},
+        {"kind": "origin_slow", "at": 30e6, "len": 3e6},
+        {"kind": "throttle", "at": 31e6, "len": 3e6, "on": [0, 2]},
+    ],
+}  # fmt: skip
+
+
+def test_a_bench_days_troubles_become_a_scenario() -> None:
+    made, left_out = convert(json.dumps(BENCH).encode(), engines=8, instances=2, seconds=20.0)
+    day = msgspec.convert(made, Day)
+    assert [t.what for t in day.troubles] == ["crash", "leave", "burst", "kill", "throttle"]
+    assert day.troubles[0].at_ms == 5_000 and set(day.troubles[0].engines) == {"r0", "w0"}
+    assert day.settings["routing"]["drain_grace_ms"] == 500 and len(day.engines) == 8
+    assert left_out == ["origin_slow at 30.0 s"]
+    assert plan(day, 1)
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"{}", b'{"length": 1, "troubles": [], "classes": [], "servers": []}'])
+def test_what_is_no_bench_day_is_refused(data: bytes) -> None:
+    with pytest.raises(BenchError, match="not a bench day"):
+        convert(data)
+
+
+# The day itself, as a newcomer runs it.
+
+
+def test_the_bad_day_keeps_every_rule_on_two_seeds(tmp_path: Path) -> None:
+    runs = []
+    for seed in (1, 2):
+        command = [sys.executable, "-m", "stonetrack", "day", "run", str(DAY), "--seed", str(seed), "--quiet", "--report",
+                   str(tmp_path / str(seed))]  # fmt: skip
+        runs.append(subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True))
+    for seed, run in enumerate(runs, 1):
+        out, _ = run.communicate(timeout=240)
+        assert run.returncode == 0, out
+        assert int(out.split(" requests")[0].rsplit(" ", 1)[1]) >= 2_000 and "rules kept" in out, out
+        page = (tmp_path / str(seed) / "report.html").read_text()
+        assert "Every rule was kept." in page and "<svg" in page
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,85 @@
+"""Imports point one way, rooms that must be pure are, and the adapter needs nothing beyond the module."""
+
+from __future__ import annotations
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "stonetrack"
+# What each package may import of ours, itself and the module's interface aside.
+ALLOWED = {
+    "wire": set(),
+    "node": set(),
+    "settings": set(),
+    "engines": {"node", "wire", "settings"},
+    "fronts": {"node", "wire", "settings"},
+    "daemon": {"fronts", "engines", "node", "wire", "settings", "logic"},
+    "standin": {"engines", "wire"},
+    "day": {"standin", "engines", "wire", "settings"},
+    "cli": {"day", "standin", "daemon", "fronts", "engines", "settings"},
+}
+IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
+PURE = [
+    "wire/*.py", "node/life.py", "node/ports.py", "engines/protocol.py", "engines/load.py", "engines/listing.py",
+    "engines/releases.py", "fronts/answers.py", "fronts/classify.py", "fronts/auth.py", "fronts/errors.py",
+    "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
+    "day/bench.py", "logic.py", "api.py",
+]  # fmt: skip
+BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
+# A helper of the standard library that opens nothing: reading a query string.
+EXCEPTIONS = {("standin/host.py", "urllib.parse")}
+
+
+def imports(path: Path) -> set[str]:
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text("utf-8"))):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+            if node.module == "stonetrack":
+                found |= {f"stonetrack.{alias.name}" for alias in node.names}
+    return found
+
+
+FILES = sorted(path for path in ROOT.rglob("*.py"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: str(p.relative_to(ROOT)))
+def test_imports_point_one_way(path: Path) -> None:
+    package = path.relative_to(ROOT).parts[0]
+    if package not in ALLOWED:
+        return
+    for name in imports(path):
+        parts = name.split(".")
+        if parts[0] == "stonetrack" and len(parts) > 1:
+            assert parts[1] in ALLOWED[package] | {package, "api", "__version__"}, f"{path} imports {name}"
+
+
+@pytest.mark.parametrize("path", [p for pattern in PURE for p in sorted(ROOT.glob(pattern))], ids=str)
+def test_decisions_and_protocols_are_free_of_io(path: Path) -> None:
+    assert not {name.split(".")[0] for name in imports(path)} & IO, path
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda p: str(p.relative_to(ROOT)))
+def test_no_networking_library_is_used(path: Path) -> None:
+    used = {name for name in imports(path) if name.split(".")[0] in BANNED}
+    assert not {name for name in used if (str(path.relative_to(ROOT)), name) not in EXCEPTIONS}
+
+
+def test_the_adapter_loads_nothing_beyond_the_module() -> None:
+    code = (
+        "import sys; import stonetrack.drill; print('\\n'.join(n for n in sys.modules if n.startswith('stonetrack')))"
+    )
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    assert set(loaded) == {"stonetrack", "stonetrack.api", "stonetrack.logic", "stonetrack.drill"}
+
+
+def test_each_package_says_what_it_is_for() -> None:
+    for package in ALLOWED:
+        text = ast.get_docstring(ast.parse((ROOT / package / "__init__.py").read_text("utf-8"))) or ""
+        assert "Must never touch" in text and len(text.splitlines()) >= 4, package
