--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -13,7 +13,7 @@
 
 def test_the_readme_example_prints_what_it_says() -> None:
     text = (ROOT / "README.md").read_text()
-    code = re.search(r"```python\n(.*?)```", text, re.S)
+    code = re.search(r"```python\n(from stonetrack.*?)```", text, re.S)
     said = re.search(r"```\n(\[Send.*?)```", text, re.S)
     assert code and said
     printed = io.StringIO()
