Faster streams: whole chunks and events at once, fewer wake-ups; the interpreter asked for less often

Cause: profiled with one caller, half of a request's time went into chunk and event parsing one state at a time; with 3,000 streams open 7.7 cores went into threads that wait for the interpreter and wake every millisecond to ask for it.

Change: a fast path for chunks that are there whole and for events of one data line; a token's piece goes straight to the client's sink; label look-ups kept; the switch interval 50 ms instead of 1.

--- a/stonetrack/cli/serving.py
+++ b/stonetrack/cli/serving.py
@@ -127,7 +127,9 @@
         sys.exit(1)
     settings = parse(first)
     log = configure(settings.log_level)
-    sys.setswitchinterval(0.001)
+    # Threads give the interpreter up at every socket call; who waits for it wakes once an interval to ask. At the usual
+    # 5 ms, and thousands of threads waiting, the asking alone took 7 cores.
+    sys.setswitchinterval(0.05)
     running = Instance(settings, inherited(listener), index=index, instances=instances, log=log, name=f"i{index}")
     running.start()
 
--- a/stonetrack/daemon/meters.py
+++ b/stonetrack/daemon/meters.py
@@ -32,6 +32,7 @@
 
     def __init__(self, read: Callable[[], Iterable[Metric]], classes: list[str], tenants: list[str]) -> None:
         self.registry = CollectorRegistry()
+        self._children: dict[tuple[str, int, int, str], tuple[Counter, Counter, Histogram, Histogram]] = {}
         self._classes, self._tenants = classes, tenants
         self.requests = Counter(
             "stonetrack_requests",
@@ -59,15 +60,23 @@
     def names(self, classes: list[str], tenants: list[str]) -> None:
         """Take the names of new settings; what was counted stays."""
         self._classes, self._tenants = classes, tenants
+        self._children.clear()
 
     def note(self, record: Record) -> None:
         """Count one request."""
-        name = self._name(self._classes, record.class_index)
-        self.requests.labels(record.front, name, self._name(self._tenants, record.tenant), record.ended).inc()
-        self.attempts.labels(name).inc(record.attempts)
-        self.took.labels(name).observe(record.took / SECOND)
+        key = (record.front, record.class_index, record.tenant, record.ended)
+        if (found := self._children.get(key)) is None:  # looking labels up anew costs more than counting
+            name = self._name(self._classes, record.class_index)
+            tenant = self._name(self._tenants, record.tenant)
+            found = (self.requests.labels(record.front, name, tenant, record.ended), self.attempts.labels(name),
+                     self.took.labels(name), self.first.labels(name))  # fmt: skip
+            self._children[key] = found
+        requests, attempts, took, first = found
+        requests.inc()
+        attempts.inc(record.attempts)
+        took.observe(record.took / SECOND)
         if record.first >= 0:
-            self.first.labels(name).observe(record.first / SECOND)
+            first.observe(record.first / SECOND)
 
     @staticmethod
     def _name(names: list[str], index: int) -> str:
--- a/stonetrack/engines/protocol.py
+++ b/stonetrack/engines/protocol.py
@@ -37,6 +37,7 @@
 STATE_MISSING = "kv_state_missing"
 _AT_FAULT = frozenset({400, 413, 422})
 _ERROR_BODY = 65_536
+_EXTRA = ("system_fingerprint", "service_tier")  # of an event, beside its choices, that reach the client
 
 _encode = msgspec.json.Encoder().encode
 _decode = msgspec.json.Decoder().decode
@@ -209,18 +210,17 @@
         if not isinstance(raw, dict):
             self._end(Outcome.ERROR, events, why="an event of the engine's stream is no JSON object")
             return
-        if "error" in raw:
-            self._end(Outcome.ERROR, events, why=f"the engine's stream told an error: {_message(raw)}")
-            return
         choices, usage = raw.get("choices"), raw.get("usage")
-        if not isinstance(choices, list) or not all(isinstance(c, dict) for c in choices):
+        if type(choices) is list and "error" not in raw and all(map(_is_object, choices)):
+            if not self.began:
+                self.began = True
+                events.append(Began())
+            extra = {k: raw[k] for k in _EXTRA if k in raw} if len(raw) > 5 else {}
+            events.append(Piece(choices, usage if type(usage) is dict else None, extra))
+        elif "error" in raw:
+            self._end(Outcome.ERROR, events, why=f"the engine's stream told an error: {_message(raw)}")
+        else:
             self._end(Outcome.ERROR, events, why="an event of the engine's stream has no list of choices")
-            return
-        if not self.began:
-            self.began = True
-            events.append(Began())
-        extra = {k: raw[k] for k in ("system_fingerprint", "service_tier") if k in raw}
-        events.append(Piece(choices, usage if isinstance(usage, dict) else None, extra))
 
     def _whole(self, head: http1.ResponseHead, events: list[AttemptEvent]) -> None:
         """The message is complete and no outcome has been given."""
@@ -255,6 +255,10 @@
             self._end(Outcome.ERROR, events, why=f"the engine answered {head.status}: {_message(raw)}")
 
 
+def _is_object(value: object) -> bool:
+    return type(value) is dict
+
+
 def _message(raw: dict[str, Any]) -> str:
     error = raw.get("error")
     text = error.get("message") if isinstance(error, dict) else error or raw.get("message")
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -37,17 +37,22 @@
 class Waker:
     """A descriptor that another thread can make readable; one for each worker thread."""
 
-    __slots__ = ("fd",)
+    __slots__ = ("_woken", "fd")
 
     def __init__(self) -> None:
         self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+        self._woken = False
 
     def wake(self) -> None:
         """Make it readable."""
+        self._woken = True
         os.eventfd_write(self.fd, 1)
 
     def clear(self) -> None:
         """Make it unreadable."""
+        if not self._woken:
+            return
+        self._woken = False
         with contextlib.suppress(BlockingIOError):
             os.eventfd_read(self.fd)
 
@@ -181,6 +186,9 @@
             self._flush(now)
 
     def _event(self, event: AttemptEvent, now: int) -> None:
+        if type(event) is Piece and self.life.streams(now):
+            self._give(event)
+            return
         if isinstance(event, Over):
             self.attempt = None
         self._do(self.life.attempt(event, now))
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -287,6 +287,16 @@
         self.server, self.limit_at = "", 0
         return effects
 
+    def streams(self, now: int) -> bool:
+        """Whether a piece that came just now goes straight to the client; notes that the stream is alive.
+
+        The usual case of :meth:`attempt`, without its effects: it is asked for every token.
+        """
+        if self.stage is not Stage.STREAMING or self.gone:
+            return False
+        self.silent_at = now + self.silence
+        return True
+
     def time(self, now: int) -> list[Effect]:
         """Time has passed: end an attempt that has had its time, or a stream that fell silent."""
         if not self.due() or now < self.due():
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -31,6 +31,7 @@
 _TARGET = re.compile(rb"[!-~]+")  # visible ASCII: no space, no control
 _VALUE_BAD = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\x00-\x08\x0a-\x1f\x7f]*)?")
+_PLAIN_SIZE = re.compile(rb"[1-9A-Fa-f][0-9A-Fa-f]{0,6}")
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?")
 _NO_BODY = frozenset({204, 304})
 
@@ -252,6 +253,8 @@
             case _State.LENGTH | _State.CHUNK:
                 return self._counted(events)
             case _State.SIZE:
+                if self._whole_chunks(events):
+                    return True
                 line = self._line(self.limits.chunk_line, "chunk size line", 400)
                 return line is not None and self._chunk_size(line)
             case _State.GAP:
@@ -336,6 +339,29 @@
                 events.append(End())
         return True
 
+    def _whole_chunks(self, events: list[Event]) -> bool:
+        """All chunks that are there whole, as one ``Data``: the usual case of a stream, at a third of the cost of
+        going through the states one by one.  Whatever is not plain is left to those."""
+        buffer, at, seen, most = self._buffer, self._pos, self._seen, self.limits.body
+        data = []
+        while True:
+            end = buffer.find(b"\r\n", at, at + 10)
+            if end < 0 or not _PLAIN_SIZE.fullmatch(buffer, at, end):
+                break
+            size = int(buffer[at:end], 16)
+            stop = end + 2 + size
+            if seen + size > most or buffer[stop : stop + 2] != b"\r\n":
+                break
+            seen += size
+            data.append(buffer[end + 2 : stop])
+            at = stop + 2
+        if not data:
+            return False
+        events.append(Data(b"".join(data)))
+        self._pos = self._scan = at
+        self._seen = seen
+        return True
+
     def _chunk_size(self, line: bytes) -> bool:
         found = _CHUNK_SIZE.fullmatch(line)
         if found is None:
--- a/stonetrack/wire/sse.py
+++ b/stonetrack/wire/sse.py
@@ -58,6 +58,16 @@
         if not held:
             return events
         del self._buffer[:held]
+        if not self._data and not self._name and block.endswith(b"\n\n"):
+            # The usual case: whole events of one data line each.
+            for event in block[:-2].split(b"\n\n"):
+                if event.startswith(b"data: ") and b"\n" not in event and len(event) <= self._limit:
+                    events.append(ServerSent(event[6:]))
+                else:
+                    for line in event.split(b"\n"):
+                        self._take(line, events)
+                    self._take(b"", events)
+            return events
         for line in block.split(b"\n")[:-1]:
             self._take(line, events)
         return events
--- a/stonetrack/wire/writer.py
+++ b/stonetrack/wire/writer.py
@@ -16,7 +16,7 @@
 def _head(start: str, headers: Fields) -> bytes:
     lines = [start]
     for name, value in headers:
-        if not _SAFE.fullmatch(value):
+        if not value.isprintable() and not _SAFE.fullmatch(value):
             raise ValueError(f"header {name}: control bytes in its value")
         lines.append(f"{name}: {value}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
