A refused sender can read why; a killed instance is gone when its last thread is

Change: what comes after a last answer is thrown away for up to 2 s (RFC 9112, 9.6); the kill's span lasts until no thread is left.

--- a/stonetrack/day/load.py
+++ b/stonetrack/day/load.py
@@ -425,8 +425,11 @@
 
 
 def gone(pid: int) -> bool:
-    """Whether a process has ended; its sockets are closed then, though its parent may not have looked yet."""
+    """Whether a process has ended with all its threads: its sockets are closed then, though its parent may not have
+    looked yet.  (The first thread shows as ended before the others are, and they keep the sockets.)"""
     try:
+        if len(os.listdir(f"/proc/{pid}/task")) > 1:
+            return False
         with open(f"/proc/{pid}/stat", encoding="ascii", errors="replace") as file:
             return file.read().rsplit(")", 1)[1].split()[0] in "ZX"
     except OSError:
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -38,6 +38,7 @@
 _LINGER_MS = 2  # a worker waits so long for the next request before it parks the connection
 _WORKER_IDLE = 15.0  # seconds
 _LOOK_UP = struct.pack("ll", 0, 200_000)  # the acceptor looks up so often: seconds, microseconds
+_LINGER_CLOSE = 2_000_000_000  # nanoseconds for a client to read a last answer while it still sends
 _FRESH = 1_000_000_000  # nanoseconds in which a new connection's first request is waited for while draining
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -68,6 +69,7 @@
         "sock",
         "held",
         "host",
+        "lingers_until",
         "served",
     )
 
@@ -76,6 +78,7 @@
         self.host = host
         self.served = 0  # requests taken
         self.corked = False
+        self.lingers_until = 0  # answered for the last time; what still comes is thrown away until then
         self.reader = http1.MessageReader(http1.Side.REQUESTS, limits)
         self.pending = bytearray()  # written by us, not yet taken by the socket
         self.parked_at = self.begun_at = 0  # monotonic ns: since idle; since the first byte of a request
@@ -329,7 +332,7 @@
         except OSError:
             self._close(connection)
             return
-        if self.draining and connection.served and connection.reader.idle:
+        if self.draining and connection.served and connection.reader.idle and not connection.lingers_until:
             self._close(connection)
 
     def _leave(self, connection: Connection) -> None:
@@ -345,6 +348,9 @@
                 self.connections -= 1
 
     def _readable(self, connection: Connection) -> None:
+        if connection.lingers_until:
+            self._discard(connection)
+            return
         try:
             data = connection.sock.recv(65_536, _NOW)
         except BlockingIOError:
@@ -375,9 +381,33 @@
             self._reject(connection, 503, "too many request bodies are on their way")
 
     def _reject(self, connection: Connection, status: int, why: str) -> None:
-        with contextlib.suppress(ClientLost):
+        """Answer what can't be served, and close when the client has had time to read that.
+
+        A client may still be sending; closing at once would reset the connection and take our answer along.  So what
+        comes is thrown away for a while (RFC 9112, 9.6).
+        """
+        connection.held = 0
+        try:
             connection.write(self._refuse(status, why))
-        self._close(connection)
+            connection.sock.shutdown(socket.SHUT_WR)
+        except (ClientLost, OSError):
+            self._close(connection, hard=True)
+            return
+        connection.lingers_until = time.monotonic_ns() + _LINGER_CLOSE
+        if self._parked.get(connection.fileno()) is not connection:
+            self._return(connection)
+
+    def _discard(self, connection: Connection) -> None:
+        """Throw away what a client still sends."""
+        try:
+            for _ in range(16):
+                if not connection.sock.recv(262_144, _NOW):
+                    self._close(connection)
+                    return
+        except BlockingIOError:
+            pass
+        except OSError:
+            self._close(connection)
 
     def _hand_over(self, connection: Connection, request: Request) -> None:
         """Give the request to a worker; when none can be had, refuse it."""
@@ -409,7 +439,10 @@
         now = time.monotonic_ns()
         timing = self.timing
         for connection in list(self._parked.values()):
-            if connection.begun_at:
+            if connection.lingers_until:
+                if now > connection.lingers_until:
+                    self._close(connection)
+            elif connection.begun_at:
                 most = timing.body_ms if connection.in_body else timing.header_ms
                 if now - connection.begun_at > most * 1_000_000:
                     self._held -= connection.held
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -78,6 +78,23 @@
     assert served(node)
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_client_that_sends_100_mib_reads_why_it_was_refused(node: Rig, chunked: bool) -> None:
+    client = Client(node.port)
+    piece = b"a" * (1 << 20)
+    if chunked:
+        client.send(f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+    else:
+        client.send(f"POST {CHAT} HTTP/1.1\r\nHost: a\r\nContent-Length: {100 << 20}\r\n\r\n".encode())
+    for _ in range(100):
+        client.send(piece)
+    head, body = client.answer()
+    assert head.status == 413 and b"at most" in body or b"over" in body
+    client.close()
+    assert served(node)
+
+
 @pytest.mark.parametrize(
     ("body", "said"),
     [
