--- a/stonetrack/cli/main.py
+++ b/stonetrack/cli/main.py
@@ -5,7 +5,7 @@
 import click
 
 from stonetrack import __version__
-from stonetrack.cli import serving, trying
+from stonetrack.cli import capturing, serving, trying
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -22,5 +22,7 @@
     trying.standin,
     trying.demo,
     trying.day,
+    capturing.capture,
+    capturing.replay,
 ):
     main.add_command(command)
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -21,6 +21,8 @@
 from prometheus_client.metrics_core import Metric
 
 from stonetrack import __version__, api
+from stonetrack.capture.codec import Header
+from stonetrack.capture.recorder import Recorder
 from stonetrack.daemon import meters
 from stonetrack.engines.client import EngineClient
 from stonetrack.engines.listing import Engine, Listing
@@ -65,7 +67,10 @@
     ) -> None:
         self.settings = settings
         router = make_router(router_settings(settings, index, instances), seed)
-        self.core = Core(router, clock, log=log, probe=self._probe)
+        self.recorder = self._recorder(settings, index, instances, name, seed, clock, log)
+        self.core = Core(
+            router, clock, log=log, probe=self._probe, record=self.recorder.note if self.recorder else None
+        )
         self.engines = EngineClient(settings, clock, name, self.core.tell)
         timing = settings.timing
         self.bounds = Bounds(
@@ -74,6 +79,21 @@
         self.engines.errands.start()
         self.core.start()
 
+    @staticmethod
+    def _recorder(settings: Node, index: int, instances: int, name: str, seed: int, clock: Callable[[], int],
+                  log: Callable[[str], None]) -> Recorder | None:  # fmt: skip
+        """What keeps this router's calls; its name is the instance's and when it began."""
+        wanted = settings.capture
+        if not wanted.dir:
+            return None
+        header = Header(__version__, f"{name}.{clock()}", seed, router_settings(settings, index, instances))
+        made = Recorder(
+            Path(wanted.dir), header, clock, log=log, flush=wanted.flush_ms / 1_000.0, waiting=wanted.waiting,
+            segment_bytes=wanted.segment_bytes, segment_seconds=wanted.segment_seconds,
+            budget_bytes=wanted.budget_bytes, sync=wanted.sync)  # fmt: skip
+        made.start()
+        return made
+
     def _probe(self, server: str) -> None:
         self.engines.probe(server)
 
@@ -86,6 +106,8 @@
         """Stop its threads."""
         self.core.stop()
         self.engines.close(wait)
+        if self.recorder is not None:
+            self.recorder.stop()
 
 
 class Instance:
@@ -294,5 +316,8 @@
         )
         yield meters.counts("events", "Events told to the router", "event", dict(current.core.events))
         yield meters.counts("actions", "Actions the router decided", "action", dict(current.core.actions))
+        if current.recorder is not None:
+            yield meters.counts("capture_records", "Calls of the router, by what became of them", "what",
+                                {"written": current.recorder.written, "lost": current.recorder.lost})  # fmt: skip
         states = Counter(line.state.value for line in self._listing.lines.values())
         yield meters.by("engines", "Engines in the list", "state", {k: float(v) for k, v in states.items()})
--- a/stonetrack/day/run.py
+++ b/stonetrack/day/run.py
@@ -64,6 +64,7 @@
         "routing": {"may_hold_place": True, "routers": day.instances},
         "timing": {"drain_ms": 4_000},
         "state_dir": str(state_dir),
+        "capture": {"dir": str(state_dir.parent / "capture")},
     }
     return _merged(base, day.settings)
 
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -59,10 +59,12 @@
         log: Callable[[str], None],
         probe: Callable[[str], None] = lambda server: None,
         subscribe: Callable[[], None] = lambda: None,
+        record: Callable[[int, api.Event, list[api.Action]], None] | None = None,
     ) -> None:
         self.clock = clock
         self.router = router
         self._log, self._probe, self._subscribe = log, probe, subscribe
+        self._record = record  # told of every call under the lock; must not wait
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
         self._closed: dict[str, int] = {}  # servers that the list told of as leaving: when
@@ -128,6 +130,8 @@
             if isinstance(event, api.ServerList):
                 self._note_list(event, now)
             actions = self.router.handle(now, event)
+            if self._record is not None:
+                self._record(now, event, actions)
             self.events[type(event).__name__] += 1
             for action in actions:
                 self.actions[type(action).__name__] += 1
--- a/stonetrack/settings/schema.py
+++ b/stonetrack/settings/schema.py
@@ -154,6 +154,18 @@
     drain_ms: Annotated[int, Meta(ge=0, le=600_000)] = 20_000
 
 
+class Capture(_Strict, frozen=True):
+    """What the router is told and decides, kept on disk; off where ``dir`` is empty."""
+
+    dir: str = ""
+    flush_ms: Annotated[int, Meta(ge=10, le=60_000)] = 250
+    segment_bytes: Annotated[int, Meta(ge=4_096, le=1 << 30)] = 16 << 20
+    segment_seconds: Annotated[int, Meta(ge=1, le=86_400)] = 600
+    budget_bytes: Annotated[int, Meta(ge=65_536)] = 256 << 20
+    waiting: Annotated[int, Meta(ge=100, le=10_000_000)] = 50_000
+    sync: bool = True
+
+
 class Node(_Strict, frozen=True):
     """All settings of one node."""
 
@@ -168,5 +180,6 @@
     routing: Routing = Routing()
     limits: Limits = Limits()
     timing: Timing = Timing()
+    capture: Capture = Capture()
     state_dir: str = ""  # where the server list is kept for a restart; none where empty
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
