--- a/stonetrack/capture/codec.py
+++ b/stonetrack/capture/codec.py
@@ -5,6 +5,8 @@
 - ``HEADER``: ``[0, format, code version, instance, seed, settings]``: a router begins; what follows is told to it.
 - ``EVENT``: ``[1, clock, event, [action, …]]``: one call of ``Router.handle`` and what it returned.
 - ``GAP``: ``[2, clock, count]``: so many calls are missing here; the replay of this router ends before them.
+- ``STATE``: ``[3, clock, code version, snapshot]``: what the router held then (:mod:`.snapshot`); replay goes on
+  from it.
 
 An event or action is ``[name, field, …]`` in the order of its dataclass; enums are their values.  Codecs are made from
 the types at import: a field of a type that has none fails there, so that no capture lacks it silently, and a capture
@@ -26,7 +28,7 @@
 from stonetrack import api
 
 FORMAT = 1
-HEADER, EVENT, GAP = 0, 1, 2
+HEADER, EVENT, GAP, STATE = 0, 1, 2, 3
 
 
 class CaptureError(ValueError):
@@ -60,7 +62,16 @@
     count: int
 
 
-Record = Header | Call | Gap
+@dataclass(frozen=True, slots=True)
+class State:
+    """What the router held, after the calls before it."""
+
+    at: int
+    version: str
+    data: bytes
+
+
+Record = Header | Call | Gap | State
 Thing = Any  # an event or an action
 
 
@@ -148,6 +159,8 @@
             return encode_call(at, event, actions)
         case Gap(at, count):
             return _pack([GAP, at, count])
+        case State(at, version, data):
+            return _pack([STATE, at, version, data])
 
 
 def decode(data: bytes) -> Record:
@@ -160,6 +173,8 @@
             return Call(at, _back(event), tuple(_back(action) for action in actions))
         if kind == GAP:
             return Gap(raw[1], raw[2])
+        if kind == STATE:
+            return State(raw[1], raw[2], raw[3])
         if kind == HEADER:
             if raw[1] != FORMAT:
                 raise CaptureError(f"format {raw[1]}; this version reads {FORMAT}")
--- a/stonetrack/capture/recorder.py
+++ b/stonetrack/capture/recorder.py
@@ -2,8 +2,8 @@
 
 ``note`` only appends to a bounded queue; a thread turns what is there into blocks, one each ``flush`` seconds or
 ``block`` records.  When the queue is full, or the disk is, calls are counted instead and a ``Gap`` says how many are
-missing: the node never waits.  After a gap the router's state is not known, so what follows can't be replayed until a
-router begins anew (a snapshot will mend that).
+missing: the node never waits.  Then the router's state is taken whole, between two calls (``still``), and a new
+segment begins with it, so that what follows can be replayed.
 
 Segments rotate by size and age; past the budget the oldest is deleted, never one marked as kept (a file ``NAME.keep``
 beside it).
@@ -21,7 +21,7 @@
 
 from stonetrack import api
 from stonetrack.capture import codec, segment
-from stonetrack.capture.codec import Gap, Header
+from stonetrack.capture.codec import CaptureError, Gap, Header, State
 
 SUFFIX = ".cap"
 
@@ -36,9 +36,12 @@
         self._flush, self._block, self._most = flush, block, waiting
         self._segment_bytes, self._segment_seconds, self._budget = segment_bytes, segment_seconds, budget_bytes
         self._sync = sync
+        self._still: Callable[[Callable[[], None]], None] | None = None
+        self._snapshot: Callable[[], bytes] | None = None
         self._queue: deque[tuple[int, api.Event, Sequence[api.Action]]] = deque()
         self._wake = threading.Event()
         self._stopping = False
+        self._in_hand = 0  # calls taken from the queue and not written yet
         self._lost = 0  # calls not taken, since the last gap was written
         self.lost = 0  # in all
         self.written = 0  # records
@@ -52,6 +55,10 @@
         self._said = ""
         self._thread = threading.Thread(target=self._run, name="capture", daemon=True)
 
+    def after_gaps(self, still: Callable[[Callable[[], None]], None], snapshot: Callable[[], bytes]) -> None:
+        """Go on after a gap: ``still`` runs something between two calls, ``snapshot`` is what the router holds then."""
+        self._still, self._snapshot = still, snapshot
+
     def start(self) -> None:
         """Start the thread."""
         self._thread.start()
@@ -94,30 +101,64 @@
         if str(error) != self._said:
             self._said = str(error)
             self._log(f"capture: {error}; calls are not recorded")
-        dropped = len(self._queue)
-        self._queue.clear()
-        self._lost += dropped
-        self.lost += dropped
+
+        def drop() -> None:
+            dropped = len(self._queue) + self._in_hand
+            self._queue.clear()
+            self._in_hand = 0
+            self._lost += dropped
+            self.lost += dropped
+
+        self._between(drop)
         self._close()
         time.sleep(min(1.0, self._flush * 4))
 
     def _write(self) -> None:
         if self._file is None:
             self._open()
-        records = []
-        for _ in range(min(self._block, len(self._queue))):
+        records: list[bytes] = []
+        while self._queue and len(records) < self._block:
             records.append(codec.encode_call(*self._queue.popleft()))
-        gap = 0
-        if self._lost and not self._queue:
-            gap = self._lost
+            self._in_hand = len(records)
+        whole = not (self._lost and not self._queue)
+        if not whole:
+            gap, state = self._resume()
             records.append(codec.encode(Gap(self._clock(), gap)))
         self._append(records)
-        if gap:
-            self._lost -= gap
+        self._in_hand = 0
+        if not whole:
             self._close()  # what follows a gap begins a segment of its own
+            if state is not None:
+                self._open()
+                self._append([codec.encode(state)])
         elif self._size >= self._segment_bytes or time.monotonic() - self._opened >= self._segment_seconds:
             self._close()
 
+    def _resume(self) -> tuple[int, State | None]:
+        """How many calls are missing, and the router's state after them; calls are taken again from here on."""
+        taken: list[State] = []
+        gap = [0]
+
+        def now() -> None:
+            if self._snapshot is not None:
+                taken.append(State(self._clock(), self._header.version, self._snapshot()))
+            gap[0], self._lost = self._lost, 0
+
+        try:
+            self._between(now)
+        except (CaptureError, AttributeError) as error:  # a router that snapshots do not know
+            self._log(f"capture: no snapshot: {error}; calls after the gap can't be replayed")
+            self._snapshot = None
+            gap[0], self._lost = self._lost, 0
+        return gap[0], taken[0] if taken else None
+
+    def _between(self, do: Callable[[], None]) -> None:
+        """Between two calls of ``note``, which other threads make."""
+        if self._still is not None:
+            self._still(do)
+        else:
+            do()
+
     def _append(self, records: list[bytes]) -> None:
         if not records or self._file is None:
             return
--- a/stonetrack/capture/replay.py
+++ b/stonetrack/capture/replay.py
@@ -8,7 +8,8 @@
 
 from stonetrack import api
 from stonetrack.capture import codec, segment
-from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record
+from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
+from stonetrack.capture.snapshot import restore
 from stonetrack.logic import Router
 
 
@@ -27,6 +28,7 @@
 
     calls: int = 0
     routers: int = 0
+    states: int = 0  # snapshots that replay went on from
     skipped: int = 0  # calls after a gap, or before any header
     missing: int = 0  # calls that the capture itself says it lacks
     difference: Difference | None = None
@@ -74,6 +76,9 @@
         if isinstance(record, Header):
             router = make(record.settings, record.seed)
             result.routers += 1
+        elif isinstance(record, State):
+            router = restore(record.data)
+            result.states += 1
         elif isinstance(record, Gap):
             result.missing += record.count
             router = None
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -10,7 +10,7 @@
 
 from stonetrack.capture import codec
 from stonetrack.capture import replay as again
-from stonetrack.capture.codec import Call, Gap, Header
+from stonetrack.capture.codec import Call, Gap, Header, State
 from stonetrack.capture.recorder import SUFFIX
 
 FOLDER = click.Path(exists=True, path_type=Path)
@@ -81,6 +81,8 @@
     for record in records:
         if isinstance(record, Header):
             yield f"a router begins: stonetrack {record.version}, seed {record.seed}"
+        elif isinstance(record, State):
+            yield f"a snapshot of {len(record.data)} bytes, at {record.at}"
         elif isinstance(record, Gap):
             yield f"{record.count} calls are missing"
         else:
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -21,6 +21,7 @@
 from prometheus_client.metrics_core import Metric
 
 from stonetrack import __version__, api
+from stonetrack.capture import snapshot
 from stonetrack.capture.codec import Header
 from stonetrack.capture.recorder import Recorder
 from stonetrack.daemon import meters
@@ -71,6 +72,8 @@
         self.core = Core(
             router, clock, log=log, probe=self._probe, record=self.recorder.note if self.recorder else None
         )
+        if self.recorder is not None and isinstance(router, Router):
+            self.recorder.after_gaps(self.core.still, lambda: snapshot.take(router))
         self.engines = EngineClient(settings, clock, name, self.core.tell)
         timing = settings.timing
         self.bounds = Bounds(
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -105,6 +105,11 @@
         )
         return ticket
 
+    def still(self, do: Callable[[], None]) -> None:
+        """Do something between two events; it must be quick."""
+        with self._lock:
+            do()
+
     def leave(self, ticket: Ticket) -> None:
         """The request is over; its mailbox is closed."""
         with self._lock:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -6,13 +6,15 @@
 import random
 import subprocess
 import sys
+import threading
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
 
 from stonetrack import api
-from stonetrack.capture import codec, segment
+from stonetrack.capture import codec, segment, snapshot
 from stonetrack.capture.codec import Call, CaptureError, Gap, Header
 from stonetrack.capture.recorder import Recorder
 from stonetrack.capture.replay import read, read_file, replay
@@ -188,6 +190,30 @@
     assert sum(r.count for r in found if isinstance(r, Gap)) == 200
 
 
+def test_what_was_in_hand_when_the_disk_filled_is_counted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    real, room = os.write, [3]
+
+    def little_room(fd: int, data: bytes) -> int:
+        room[0] -= 1
+        if room[0] == 0:
+            real(fd, data[:40])
+            raise OSError(28, "No space left on device")
+        return real(fd, data)
+
+    monkeypatch.setattr(os, "write", little_room)
+    made = calls(200)
+    writer = Recorder(tmp_path, HEADER, time.time_ns, log=lambda text: None, flush=0.01, block=50)
+    for call in made:
+        writer.note(call.at, call.event, call.actions)
+    writer.start()
+    writer.stop()
+    damage: list[str] = []
+    records = list(read(files(tmp_path), damage))
+    found = sum(isinstance(r, Call) for r in records)
+    assert found + sum(r.count for r in records if isinstance(r, Gap)) == 200 and writer.lost == 200 - found
+    assert len(damage) == 1 and "torn" in damage[0] and replay(records).same
+
+
 def test_the_oldest_go_past_the_budget_but_never_one_that_is_kept(tmp_path: Path) -> None:
     write(tmp_path, calls(1_500), segment_bytes=3_000, block=200, budget_bytes=1 << 30)
     before = files(tmp_path)
@@ -201,6 +227,31 @@
     assert before[1] in left and before[0] not in left and len(left) < len(before)
 
 
+def test_after_a_gap_replay_goes_on_from_a_snapshot(tmp_path: Path) -> None:
+    made = calls(900)
+    router = Router(SETTINGS, 1)
+    lock = threading.Lock()
+
+    def still(do: Callable[[], None]) -> None:
+        with lock:
+            do()
+
+    writer = Recorder(tmp_path, HEADER, time.time_ns, log=lambda text: None, waiting=100, flush=0.01)
+    writer.after_gaps(still, lambda: snapshot.take(router))
+    for n, call in enumerate(made):
+        with lock:
+            writer.note(call.at, call.event, router.handle(call.at, call.event))
+        if n == 300:  # the queue overflowed; then the thread comes to it
+            writer.start()
+            assert wait_for(lambda: not writer._lost and not writer._queue)
+        elif n > 300 and n % 50 == 0:
+            assert wait_for(lambda: not writer._queue)
+    writer.stop()
+    result = replay(read(files(tmp_path), []))
+    assert result.same and result.missing == writer.lost >= 200 and result.states >= 1
+    assert result.calls + result.missing == 900 and not result.skipped
+
+
 @pytest.mark.parametrize("data", [b"", b"\x90", b"\x92\x01", b"\x91\x07", b"\xc1", codec.encode(Gap(1, 2))[:-1]])
 def test_a_record_that_can_not_be_read_is_said_plainly(data: bytes) -> None:
     with pytest.raises(CaptureError):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,7 +28,7 @@
     "wire/*.py", "node/life.py", "node/ports.py", "engines/protocol.py", "engines/load.py", "engines/listing.py",
     "engines/releases.py", "fronts/answers.py", "fronts/classify.py", "fronts/auth.py", "fronts/errors.py",
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
-    "day/bench.py", "capture/codec.py", "capture/segment.py", "logic.py", "api.py",
+    "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "logic.py", "api.py",
 ]  # fmt: skip
 BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
 # A helper of the standard library that opens nothing: reading a query string.
