--- /dev/null
+++ b/benchmarks/capture.py
@@ -0,0 +1,134 @@
+"""What capturing costs: requests a second and first-token time with and without it, in turn in one run; bytes a call; how
+fast a replay is; how long opening a large capture takes.
+
+    .venv/bin/python -m benchmarks.capture [--calls N]
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.relay import closed_loop, settings, started
+from stonetrack import api
+from stonetrack.capture import codec, segment
+from stonetrack.capture.codec import Header
+from stonetrack.capture.replay import read, replay
+from stonetrack.day.page import percentile
+from stonetrack.logic import Router
+
+MS = 1_000_000
+
+
+def live(rounds: int, seconds: float) -> Path:
+    """Both nodes in turn; the folder of the captures."""
+    folder = Path(tempfile.mkdtemp(prefix="stonetrack-bench-"))
+    with started("-m", "benchmarks.engine", "2") as (_, engine):
+        plain = settings(int(engine), folder)
+        raw = json.loads(plain.read_text())
+        kept = folder / "captured.json"
+        kept.write_text(json.dumps({**raw, "capture": {"dir": str(folder / "capture")}}))
+        with (
+            started("-m", "stonetrack", "serve", str(plain)) as (_, one),
+            started("-m", "stonetrack", "serve", str(kept)) as (_, two),
+        ):
+            ports = {"without": int(one.rsplit(":", 1)[1]), "with": int(two.rsplit(":", 1)[1])}
+            rates: dict[str, list[float]] = {name: [] for name in ports}
+            firsts: dict[str, list[float]] = {name: [] for name in ports}
+            for _ in range(rounds):
+                for name, port in ports.items():
+                    rate, first = closed_loop(port, 4, seconds, 16)
+                    rates[name].append(rate)
+                    firsts[name] += first
+    for name in ports:
+        middle = sorted(rates[name])[len(rates[name]) // 2]
+        print(f"{name:<8}{middle:7.0f} requests/s, first token {percentile(firsts[name], 0.99) * 1e3:.2f} ms 99th")
+    ratios = sorted(b / a for a, b in zip(rates["without"], rates["with"], strict=True))
+    print(
+        f"with over without, pair by pair: {ratios[0]:.2f} to {ratios[-1]:.2f} of the rate, "
+        f"median {ratios[len(ratios) // 2]:.2f}; 99th first token "
+        f"{percentile(firsts['with'], 0.99) / percentile(firsts['without'], 0.99):.2f} times"
+    )
+    return folder / "capture"
+
+
+def large(calls: int, servers: int) -> None:
+    """A capture of a busy node, made here; its size, opening, and replay over its own time."""
+    config = api.Settings(
+        classes=(api.RequestClass("c", 2_000 * MS, 40 * MS, 80 * MS, 10_000 * MS),),
+        kinds=(api.Kind(api.Role.READER, 200_000), api.Kind(api.Role.WRITER, 150_000)),
+        report_source=api.ReportSource.ANSWERS)  # fmt: skip
+    router = Router(config, 1)
+    entries = tuple(api.ServerEntry(f"{'rw'[n % 2]}{n}", 0, n % 2, n // 12, api.ServerState.UP) for n in range(servers))
+    records: list[bytes] = [codec.encode(Header("b", "i0.1", 1, config))]
+    blocks: list[bytes] = []
+    number, now = 0, 1_000 * MS
+
+    def tell(event: api.Event) -> list[api.Action]:
+        nonlocal number
+        actions = router.handle(now, event)
+        records.append(codec.encode_call(now, event, actions))
+        if len(records) >= 2_000:
+            blocks.append(segment.pack(records, number))
+            number += len(records)
+            records.clear()
+        return actions
+
+    start = time.process_time()
+    tell(api.ServerList(api.ListKind.FULL, 1, entries))
+    report, n = api.LoadReport(3.0, 1.0, 0.4, 500.0), 0
+    while number < calls:
+        n += 1
+        now += 25 * MS  # 40 requests a second
+        actions = tell(api.RequestArrived(f"chatcmpl-{n:024x}", 0, f"s{n % 400}", 9_000 * MS, 900, f"b{n % 16}", 500))
+        attempt = 0
+        while sends := [a for a in actions if isinstance(a, api.Send)]:
+            name, server = sends[0].request, sends[0].server
+            if server.startswith("r"):
+                actions = tell(
+                    api.AttemptEnded(name, attempt, server, api.Outcome.READ, 3 * MS, False, 400, report=report)
+                )
+                attempt += 1
+            else:
+                tell(api.FirstToken(name, attempt, server, MS))
+                actions = tell(api.AttemptEnded(name, attempt, server, api.Outcome.SERVED, 2 * MS, True, report=report))
+    blocks.append(segment.pack(records, number))
+    made = time.process_time() - start
+    with tempfile.TemporaryDirectory() as temporary:
+        path = Path(temporary) / "i0.1-0.cap"
+        path.write_bytes(segment.MAGIC + b"".join(blocks))
+        size = path.stat().st_size
+        start = time.perf_counter()
+        found, damage = segment.scan(path.read_bytes())
+        opened = time.perf_counter() - start
+        total = sum(block.records for block in found)
+        start = time.perf_counter()
+        result = replay(read([path], []))
+        took = time.perf_counter() - start
+    assert damage is None and result.same
+    print(
+        f"{total} calls at {servers} servers: {size / total:.1f} bytes a call; opened and checked in {opened:.2f} s; "
+        f"replayed in {took:.1f} s, {(now / 1e9) / took:.0f} times its own time at 40 requests a second (made in {made:.1f} s)"
+    )
+
+
+def main() -> None:
+    """Measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--calls", type=int, default=100_000)
+    options = parser.parse_args()
+    folder = live(5, 3.0)
+    calls = size = 0
+    for path in sorted(folder.glob("*.cap")):
+        blocks, _ = segment.scan(path.read_bytes())
+        calls += sum(block.records for block in blocks)
+        size += path.stat().st_size
+    print(f"live: {calls} calls, {size / max(calls, 1):.1f} bytes a call")
+    large(options.calls, 60)
+
+
+if __name__ == "__main__":
+    main()
