--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -21,6 +21,7 @@
 from stonetrack.settings import SettingsError, parse
 from stonetrack.standin.host import Fleet, Host, small_fleet
 from stonetrack.standin.tap import Tap
+from stonetrack.wire import http1
 from tests.rig import QUICK, Client, chat, raw_settings, wait_for
 
 
@@ -89,19 +90,20 @@
 
 
 def test_an_instance_killed_outright_is_started_again_and_the_others_serve_on(tmp_path: Path) -> None:
-    with running(tmp_path, 2, **SLOW) as node:
-        clients = open_streams(node, 12)
+    with running(tmp_path, 2, answer_least=250, answer_most=250, token_ms=20.0) as node:
+        clients = open_streams(node, 8)
+        at = {client: head.headers.get("x-stonetrack-instance") for client in clients for head in client.events[:1]
+              if isinstance(head, http1.ResponseHead)}  # fmt: skip
+        assert set(at.values()) == {"i0", "i1"}
         before = {line["index"]: line["pid"] for line in node.lines("instance ready")}
         os.kill(before[0], signal.SIGKILL)
-        cut = ended = 0
         for client in clients:
             try:
-                _, body = client.answer()
-                ended += body.endswith(b"[DONE]\n\n")
+                whole = client.answer()[1].endswith(b"[DONE]\n\n")
             except (ConnectionError, OSError, ValueError):
-                cut += 1
+                whole = False
+            assert whole == (at[client] == "i1")
             client.close()
-        assert cut and ended and cut + ended == 12
         assert wait_for(lambda: len(node.lines("instance ready")) == 3)
         again = node.lines("instance ready")[-1]
         assert again["index"] == 0 and again["starts"] == 2 and again["pid"] != before[0]
