--- a/stonetrack/cli/trying.py
+++ b/stonetrack/cli/trying.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
-import subprocess
 import sys
 import tempfile
 from pathlib import Path
@@ -51,53 +49,25 @@
     run_process(fleet, log_path, port, ready)
 
 
-class StandIns:
-    """A process of stand-ins started beside a node."""
-
-    def __init__(self, arguments: list[str]) -> None:
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "stonetrack", "standin", *arguments],
-            stdout=subprocess.PIPE,
-            stdin=subprocess.DEVNULL,
-            text=True,
-        )
-        line = self.process.stdout.readline() if self.process.stdout else ""
-        if not line.startswith("ready "):
-            self.stop()
-            raise RuntimeError(f"the stand-ins did not start: {line!r}")
-        self.list_url = line.split()[1]
-
-    def stop(self) -> None:
-        """End it."""
-        self.process.terminate()
-        with contextlib.suppress(subprocess.TimeoutExpired):
-            self.process.wait(5.0)
-            return
-        self.process.kill()
-        self.process.wait()
-
-
 @click.command()
 @click.option("--port", type=click.IntRange(0, 65535), default=8080, show_default=True)
 @click.option("--instances", type=click.IntRange(1, 64), default=2, show_default=True)
 def demo(port: int, instances: int) -> None:
     """Two instances and eight stand-ins for engines, until TERM or Ctrl-C.  Serves the model demo to any key."""
+    from stonetrack.day.run import program
+
     folder = Path(tempfile.mkdtemp(prefix="stonetrack-demo-"))
-    engines = StandIns(["--readers", "4", "--writers", "4", "--log", str(folder / "engines.log")])
-    try:
-        given = {"list_url": engines.list_url, "port": str(port), "state_dir": str(folder / "state")}
+    log_path, shown = folder / "node.log", port or "PORT"
+    text = (
+        f"curl -N http://127.0.0.1:{shown}/v1/chat/completions -H 'Content-Type: application/json' "
+        """-d '{"model": "demo", "stream": true, """
+        """"messages": [{"role": "user", "content": "Where can I charge?"}]}'"""
+        f"\nlog {log_path}"
+    )
+    with program("standin", "--readers", "4", "--writers", "4", "--log", str(folder / "engines.log")) as engines:
+        given = {"list_url": engines.url, "port": str(port), "state_dir": str(folder / "state")}
         settings = load_or_exit(DEMO, given)
-        log_path = folder / "node.log"
-        shown = port or "PORT"
-        text = (
-            f"curl -N http://127.0.0.1:{shown}/v1/chat/completions -H 'Content-Type: application/json' "
-            """-d '{"model": "demo", "stream": true, """
-            """"messages": [{"role": "user", "content": "Where can I charge?"}]}'"""
-            f"\nlog {log_path}"
-        )
         code = run_supervisor(DEMO, settings, instances, log_path, given, text)
-    finally:
-        engines.stop()
     sys.exit(code)
 
 
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -141,7 +141,6 @@
         self._last_list: dict[str, Engine] = {}
         self._old: list[Generation] = []
         self._current = self._generation(settings)
-        self.outcomes: Counter[str] = Counter()
         self.meters = meters.Meters(self._read, [c.name for c in settings.classes], [t.name for t in settings.tenants])
         self._source = self._follow(settings)
         self.app = App(self)
--- a/stonetrack/day/judge.py
+++ b/stonetrack/day/judge.py
@@ -100,17 +100,16 @@
 def attempts(log: Sequence[Record]) -> list[Attempt]:
     """All attempts, in order of their beginnings."""
     made: list[Attempt] = []
-    open_at: dict[int, tuple[Record, str]] = {}
+    open_at: dict[int, Record] = {}
 
     def close(conn: int, end: int, how: str, status: int) -> None:
-        if (opened := open_at.pop(conn, None)) is not None:
-            r = opened[0]
+        if (r := open_at.pop(conn, None)) is not None:
             made.append(Attempt(r["id"], r["n"], r["engine"], r["instance"], r["job"], r["t"], end, how, status))
 
     for record in log:
         what = record["what"]
         if what == "request" and record["job"] in _ATTEMPTS:
-            open_at[record["conn"]] = (record, "")
+            open_at[record["conn"]] = record
         elif what in ("done", "left", "cut"):
             close(record["conn"], record["t"], what, record.get("status", 0))
     for conn in list(open_at):
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -39,7 +39,6 @@
             probed=probed,
             release_within=routing.release_within_ms * 1_000_000,
         )
-        self.outcomes: dict[str, int] = {}
 
     def _engines_get(self, server: str) -> Engine | None:
         return self._engines.get(server)
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -60,7 +60,6 @@
         "_head",
         "_head_at",
         "begun_at",
-        "broken",
         "corked",
         "closed",
         "parked_at",
@@ -83,7 +82,6 @@
         self.pending = bytearray()  # written by us, not yet taken by the socket
         self.parked_at = self.begun_at = 0  # monotonic ns: since idle; since the first byte of a request
         self.closed = False
-        self.broken: ProtocolError | None = None
         self.held = 0  # bytes of a body not yet whole
         self._head: http1.RequestHead | None = None
         self._head_at = 0
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from stonetrack.api import Outcome
+from stonetrack.api import PlaceAnswer
 from stonetrack.node.core import Core
 from stonetrack.node.life import (
     Abort,
@@ -129,11 +129,11 @@
                 if fd == client:
                     self._client(mask, now)
                 elif fd == engine:
-                    self._engine(now, full)
+                    self._engine(now)
                 else:
                     self.waker.clear()
                     woken = True
-            self._times(now, full)
+            self._times(now)
             if (
                 woken
                 or self.attempt is not attempt
@@ -168,7 +168,7 @@
     def _lost(self, now: int) -> None:
         self._do(self.life.client_gone(now))
 
-    def _engine(self, now: int, full: bool) -> None:
+    def _engine(self, now: int) -> None:
         attempt = self.attempt
         if attempt is None:
             return
@@ -203,7 +203,7 @@
         except ClientLost:
             self._lost(now)
 
-    def _times(self, now: int, full: bool) -> None:
+    def _times(self, now: int) -> None:
         if not self._blocked():
             self._do(self.life.time(now))
         if self.sink.pending and not self.life.gone and now > self.progress + self.bounds.client_stall:
@@ -260,10 +260,5 @@
             self.attempt = started
 
     def _hold(self, server: str) -> None:
-        from stonetrack.api import PlaceAnswer
-
         request, number, core = self.life.ask.request, self.life.number, self.core
         self.engines.hold(request, server, number, lambda held: core.tell(PlaceAnswer(request, number, server, held)))
-
-
-__all__ = ["Bounds", "Drive", "Outcome", "Waker"]
