--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -16,7 +16,8 @@
 from stonetrack import api
 from stonetrack.capture import codec, segment
 from stonetrack.capture.codec import Header
-from stonetrack.capture.replay import read, replay
+from stonetrack.capture.history import read
+from stonetrack.capture.replay import replay
 from stonetrack.day.page import percentile
 from stonetrack.logic import Router
 
--- a/stonetrack/capture/replay.py
+++ b/stonetrack/capture/replay.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from pathlib import Path
+from typing import Any
 
 from stonetrack import api
-from stonetrack.capture import codec, segment
-from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
+from stonetrack.capture import codec
+from stonetrack.capture.codec import Call, Gap, Header, Record, State
+from stonetrack.capture.explain import lines, traced
+from stonetrack.capture.revision import Make
 from stonetrack.capture.snapshot import restore
 from stonetrack.logic import Router
 
@@ -40,44 +42,33 @@
         return self.difference is None
 
 
-def read_file(path: Path) -> tuple[list[Record], segment.Damage | None]:
-    """A segment's records that can be read, and the first damage."""
-    data = path.read_bytes()
-    blocks, damage = segment.scan(data)
-    found: list[Record] = []
-    for block in blocks:
-        try:
-            found += [codec.decode(raw) for raw in segment.records(data, block)]
-        except CaptureError as error:
-            return found, damage or segment.Damage(block.offset, str(error))
-    return found, damage
-
-
-def read(paths: Iterable[Path], damage: list[str]) -> Iterator[Record]:
-    """The records of segments in order; what is damaged is told and ends what can be replayed of that router."""
-    for path in paths:
-        records, wrong = read_file(path)
-        yield from records
-        if wrong is not None:
-            damage.append(f"{path.name}: offset {wrong.offset}: {wrong.text}")
-            if not wrong.text.startswith("torn"):
-                yield Gap(0, 0)
-
-
-def replay(records: Iterable[Record], make: Callable[[api.Settings, int], Router] = Router, *, until: int | None = None,
-           request: str = "", look: Callable[[int, Call, Router], None] | None = None) -> Replayed:  # fmt: skip
+def replay(records: Iterable[Record], make: Make = Router, **more: Any) -> Replayed:
+    """:func:`run`, for records that are numbered from 0."""
+    return run(enumerate(records), make, **more)
+
+
+def run(
+    records: Iterable[tuple[int, Record]],
+    make: Make = Router,
+    *,
+    until: int | None = None,
+    request: str = "",
+    look: Callable[[int, Call, Any], None] | None = None,
+    restore_class: type | None = None,
+) -> Replayed:
     """Replay to the first difference (in the calls about ``request``, if given), or to a time.
 
-    ``look`` sees each call and the router after it.
+    ``look`` sees each call, with its record's number, and the router after it; ``restore_class`` is what a snapshot is
+    made into.
     """
     result = Replayed()
-    router: Router | None = None
-    for number, record in enumerate(records):
+    router: Any = None
+    for number, record in records:
         if isinstance(record, Header):
             router = make(record.settings, record.seed)
             result.routers += 1
         elif isinstance(record, State):
-            router = restore(record.data)
+            router = restore(record.data, restore_class)
             result.states += 1
         elif isinstance(record, Gap):
             result.missing += record.count
@@ -96,3 +87,17 @@
                 result.difference = Difference(number, record, now)
                 return result
     return result
+
+
+def reasons_at(records: Iterable[tuple[int, Record]], number: int) -> list[str]:
+    """The reasons of this module at one call, as lines: all candidates with their scores, the captured choice too."""
+    cls, reasons = traced(Router)
+    found: list[str] = []
+
+    def look(at: int, call: Call, router: Any) -> None:
+        if at == number:
+            found.extend(lines(reasons))
+        reasons.clear()
+
+    run(((n, r) for n, r in records if n <= number), cls, look=look, restore_class=cls)
+    return found
--- /dev/null
+++ b/stonetrack/capture/revision.py
@@ -0,0 +1,161 @@
+"""The module as it stands in another revision, beside the one that runs.
+
+A revision's ``logic.py`` and ``api.py`` are taken from git and run in modules of their own.  Where its ``api.py``
+has the same fields as ours, its router takes our events as they are; where not, events and actions are translated by
+the names of their fields, and what it does not know of is left out.
+
+Must never touch: the working tree, or the modules that are loaded already.
+"""
+
+from __future__ import annotations
+
+import builtins
+import dataclasses
+import subprocess
+import sys
+import types
+from collections.abc import Callable
+from enum import Enum
+from pathlib import Path
+from typing import Any, Protocol
+
+from stonetrack import api, logic
+from stonetrack.capture.codec import CaptureError
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+class RevisionError(CaptureError):
+    """A revision whose module can't be had; the text says why."""
+
+
+class Handles(Protocol):
+    """What a replay needs of a router, of whichever revision."""
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Take one event; the actions to carry out."""
+
+
+Make = Callable[[api.Settings, int], Handles]
+
+
+@dataclasses.dataclass(frozen=True)
+class Module:
+    """One revision's decisions.  ``native`` says that its router takes our types as they are."""
+
+    name: str
+    logic: types.ModuleType
+    interface: types.ModuleType
+    native: bool
+
+    def make(self, settings: api.Settings, seed: int, cls: type | None = None) -> Handles:
+        """A router of this revision (or of a subclass of its ``Router``) that takes and gives our types."""
+        made = cls or self.logic.Router
+        if self.native:
+            return made(settings, seed)  # type: ignore[no-any-return]
+        return _Foreign(made(translate(settings, self.interface), seed), self.interface)
+
+
+class _Foreign:
+    """A router of another interface, spoken to in ours."""
+
+    def __init__(self, router: Any, its: types.ModuleType) -> None:
+        self.router, self._api = router, its
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """See :class:`Handles`."""
+        return [translate(action, api) for action in self.router.handle(now, translate(event, self._api))]
+
+
+def translate(thing: Any, to: types.ModuleType) -> Any:
+    """The same value in another ``api`` module's types.  Raises RevisionError for a type that it lacks."""
+    if isinstance(thing, tuple):
+        return tuple(translate(each, to) for each in thing)
+    if not isinstance(thing, Enum) and not dataclasses.is_dataclass(thing):
+        return thing
+    name = type(thing).__name__
+    cls = getattr(to, name, None)
+    if cls is None:
+        raise RevisionError(f"the other interface has no {name}")
+    if isinstance(thing, Enum):
+        try:
+            return cls(thing.value)
+        except ValueError:
+            raise RevisionError(f"the other interface has no {name} {thing.value!r}") from None
+    known = {field.name for field in dataclasses.fields(cls)}
+    return cls(**{f.name: translate(getattr(thing, f.name), to) for f in dataclasses.fields(thing) if f.name in known})
+
+
+def _fields(module: Any) -> dict[str, Any]:
+    """What of an interface matters to a caller: its types, their fields in order, the values of its enums."""
+    found: dict[str, Any] = {}
+    for name, cls in vars(module).items():
+        if dataclasses.is_dataclass(cls):
+            found[name] = [field.name for field in dataclasses.fields(cls)]
+        elif isinstance(cls, type) and issubclass(cls, Enum) and cls is not Enum:
+            found[name] = [each.value for each in cls]
+    return found
+
+
+def _run(name: str, text: str, known: dict[str, Any]) -> types.ModuleType:
+    """Run a file's text as a module; ``from stonetrack import api`` and the like find ``known``."""
+    module = types.ModuleType(name)
+    package = types.ModuleType("stonetrack")
+    vars(package).update(known)
+
+    def take(what: str, globals_: Any = None, locals_: Any = None, wanted: Any = (), level: int = 0) -> Any:
+        if what == "stonetrack":
+            return package
+        if what.startswith("stonetrack."):
+            return known[what.removeprefix("stonetrack.")]
+        return builtins.__import__(what, globals_, locals_, wanted, level)
+
+    vars(module)["__builtins__"] = {**vars(builtins), "__import__": take}
+    sys.modules[name] = module  # dataclasses look their module up by name
+    try:
+        exec(compile(text, f"<{name}>", "exec"), vars(module))
+    except Exception as error:
+        del sys.modules[name]
+        raise RevisionError(f"{name}: {type(error).__name__}: {error}") from None
+    return module
+
+
+def from_texts(name: str, logic_text: str, api_text: str) -> Module:
+    """A module of the texts of its two files.  Raises RevisionError."""
+    label = "stonetrack_at_" + "".join(c if c.isalnum() else "_" for c in name)
+    theirs = _run(f"{label}_api", api_text, {})
+    native = _fields(theirs) == _fields(api)
+    used = api if native else theirs
+    return Module(name, _run(f"{label}_logic", logic_text, {"api": used}), used, native)
+
+
+def current() -> Module:
+    """The module that runs."""
+    return Module("now", logic, api, True)
+
+
+def _git(arguments: list[str], root: Path) -> str:
+    try:
+        done = subprocess.run(["git", "-C", str(root), *arguments], capture_output=True, text=True, timeout=30)
+    except (OSError, subprocess.TimeoutExpired) as error:
+        raise RevisionError(f"git: {error}") from None
+    if done.returncode:
+        raise RevisionError(f"git {' '.join(arguments)}: {done.stderr.strip() or done.returncode}")
+    return done.stdout
+
+
+def load(name: str, root: Path = ROOT) -> Module:
+    """The module of a revision (any name that git knows), or of a folder that holds ``logic.py`` and ``api.py``.
+
+    Raises RevisionError.
+    """
+    if name in ("", "now"):
+        return current()
+    folder = Path(name)
+    if (folder / "logic.py").is_file():
+        return from_texts(name, (folder / "logic.py").read_text("utf-8"), (folder / "api.py").read_text("utf-8"))
+    if name.startswith("-"):
+        raise RevisionError(f"{name!r} is no revision; allowed: a name that git knows, or a folder with logic.py")
+    commit = _git(["rev-parse", "--verify", "--quiet", f"{name}^{{commit}}"], root).strip()
+    texts = [_git(["show", f"{commit}:stonetrack/{file}.py"], root) for file in ("logic", "api")]
+    return from_texts(commit[:8], *texts)
--- a/stonetrack/capture/segment.py
+++ b/stonetrack/capture/segment.py
@@ -41,6 +41,7 @@
 
     offset: int
     text: str
+    torn: bool = False  # the tail that a kill leaves
 
 
 def pack(records: Iterable[bytes], first: int, level: int = 3) -> bytes:
@@ -64,6 +65,8 @@
 def scan(data: bytes | memoryview) -> tuple[list[Block], Damage | None]:
     """The blocks that are whole, and the first damage.  Reading goes on after a damaged block where its head can be
     trusted to say where the next begins; a torn tail ends it."""
+    if len(data) < len(MAGIC) and MAGIC.startswith(bytes(data)):
+        return [], Damage(0, f"torn: {len(data)} of {len(MAGIC)} bytes of the file's beginning", True)
     if bytes(data[: len(MAGIC)]) != MAGIC:
         return [], Damage(0, f"not a capture of this version (it begins with {bytes(data[:10])!r})")
     blocks: list[Block] = []
@@ -72,12 +75,12 @@
     while at < len(data):
         left = len(data) - at
         if left < HEAD_BYTES:
-            return blocks, damage or Damage(at, f"torn: {left} bytes of a block's head")
+            return blocks, damage or Damage(at, f"torn: {left} bytes of a block's head", True)
         head = bytes(data[at : at + _HEAD.size])
         size, raw, count, first = _HEAD.unpack(head)
         whole = HEAD_BYTES + size
         if size > MOST or raw > MOST or left < whole:
-            return blocks, damage or Damage(at, f"torn: {left} of {whole} bytes of a block")
+            return blocks, damage or Damage(at, f"torn: {left} of {whole} bytes of a block", True)
         (told,) = _SUM.unpack_from(data, at + _HEAD.size)
         if _checksum(head, bytes(data[at + HEAD_BYTES : at + whole])) == told:
             blocks.append(Block(at, whole, first, count))
--- a/stonetrack/capture/snapshot.py
+++ b/stonetrack/capture/snapshot.py
@@ -25,6 +25,7 @@
     "arrived_at", "held_back", "credit", "latency", "prompt_work", "allowance", "subscribe_at", "timer_set",
 )  # fmt: skip
 TABLE = ("limit", "blocks", "entries")
+OURS = ("Stat", "Pause", "Server", "Request")  # of logic
 CLASSES: dict[str, type] = {
     cls.__name__: cls
     for cls in (logic.Stat, logic.Pause, logic.Server, logic.Request, api.LoadReport, api.RequestClass)
@@ -55,7 +56,7 @@
         return ["t", *map(_plain, value)]
     if kind in (dict, OrderedDict):
         return ["d" if kind is dict else "o", *([_plain(k), _plain(v)] for k, v in value.items())]
-    if kind is logic.PrefixTable:
+    if kind.__name__ == "PrefixTable":
         if set(vars(value)) != set(TABLE):
             raise SnapshotError(f"a prefix table holds {sorted(vars(value))}; snapshots know {sorted(TABLE)}")
         return ["p", *(_plain(getattr(value, name)) for name in TABLE)]
@@ -64,30 +65,47 @@
     raise SnapshotError(f"a {kind.__name__}, which snapshots do not know")
 
 
-def _made(value: Any) -> Any:
-    if not isinstance(value, list):
-        return value
-    match value:
-        case ["e", name, inner]:
-            return ENUMS[name](inner)
-        case ["t", *inner]:
-            return tuple(map(_made, inner))
-        case ["d", *pairs]:
-            return {_made(k): _made(v) for k, v in pairs}
-        case ["o", *pairs]:
-            return OrderedDict((_made(k), _made(v)) for k, v in pairs)
-        case ["p", *inner]:
-            table = logic.PrefixTable(0)
-            for name, each in zip(TABLE, inner, strict=True):
-                setattr(table, name, _made(each))
-            return table
-        case ["c", name, *inner]:
-            cls = CLASSES[name]
-            names = [f.name for f in dataclasses.fields(cls)]
-            if len(names) != len(inner):
-                raise SnapshotError(f"{name}: {len(inner)} fields; this version knows {len(names)}")
-            return cls(**{n: _made(v) for n, v in zip(names, inner, strict=True)})
-    raise SnapshotError(f"a value of no known kind: {str(value)[:60]}")
+class _Maker:
+    """Makes values of one revision's types.  Raises SnapshotError where it has other fields."""
+
+    def __init__(self, module: Any) -> None:
+        self._classes = {**CLASSES, **{name: getattr(module, name, None) for name in OURS}}
+        self._enums = {**ENUMS, "Phase": getattr(module, "Phase", ENUMS["Phase"])}
+        self._table = getattr(module, "PrefixTable", None)
+
+    def made(self, value: Any) -> Any:
+        """The value of its plain form."""
+        if not isinstance(value, list):
+            return value
+        match value:
+            case ["e", name, inner]:
+                return self._enums[name](inner)
+            case ["t", *inner]:
+                return tuple(map(self.made, inner))
+            case ["d", *pairs]:
+                return {self.made(k): self.made(v) for k, v in pairs}
+            case ["o", *pairs]:
+                return OrderedDict((self.made(k), self.made(v)) for k, v in pairs)
+            case ["p", *inner] if self._table is not None:
+                table = self._table(0)
+                if set(vars(table)) != set(TABLE):
+                    raise SnapshotError(f"its prefix table holds {sorted(vars(table))}, not {sorted(TABLE)}")
+                for name, each in zip(TABLE, inner, strict=True):
+                    setattr(table, name, self.made(each))
+                return table
+            case ["c", name, *inner] if self._classes.get(name) is not None:
+                return self._object(name, inner)
+        raise SnapshotError(f"a value of no known kind: {str(value)[:60]}")
+
+    def _object(self, name: str, inner: list[Any]) -> Any:
+        cls: Any = self._classes[name]
+        ours = CLASSES[name]
+        names = [f.name for f in dataclasses.fields(ours)]
+        if cls is not ours and names != [f.name for f in dataclasses.fields(cls)]:
+            raise SnapshotError(f"{name} has other fields in that revision")
+        if len(names) != len(inner):
+            raise SnapshotError(f"{name}: {len(inner)} fields; this version knows {len(names)}")
+        return cls(**{n: self.made(v) for n, v in zip(names, inner, strict=True)})
 
 
 def take(router: logic.Router) -> bytes:
@@ -98,17 +116,19 @@
     return msgspec.msgpack.encode([FORMAT, msgspec.to_builtins(router.settings), pools, state])
 
 
-def restore(data: bytes) -> logic.Router:
-    """The router of a snapshot.  Raises SnapshotError."""
+def restore(data: bytes, cls: type | None = None, module: Any = logic) -> logic.Router:
+    """The router of a snapshot; of a subclass, or of another revision's module, if given.  Raises SnapshotError."""
     try:
         form, settings, pools, state = msgspec.msgpack.decode(data)
         if form != FORMAT:
             raise SnapshotError(f"format {form}; this version reads {FORMAT}")
-        router = logic.Router(msgspec.convert(settings, api.Settings), 0)
+        router: logic.Router = (cls or module.Router)(msgspec.convert(settings, api.Settings), 0)
         if set(state) | set(_APART) != set(ROUTER):
             raise SnapshotError(f"it holds {sorted(state)}, not what this version's router does")
+        _check(router)
+        maker = _Maker(module)
         for name, value in state.items():
-            setattr(router, name, _made(value))
+            setattr(router, name, maker.made(value))
         for role, names in pools.items():
             router.pools[api.Role(role)][:] = [router.servers[name] for name in names]
     except SnapshotError:
--- /dev/null
+++ b/stonetrack/capture/store.py
@@ -0,0 +1,198 @@
+"""What is known about a folder of captures, in LMDB beside the segments: index, snapshots, marks, notes, cases.
+
+Segments are the truth; indexes and snapshots can be made again from them, marks and notes can't.  So every change is
+one transaction, made durable before it is told (LMDB's own promise: after a kill the last whole one is there), and
+whatever the store says of a segment is compared with the file's size and time of change before it is used.
+
+Several processes may have it open: instances look marks up before they delete, one tender writes.  Keys are text; a
+router's snapshots are ``ROUTER/NUMBER`` with the number in 20 digits, so that they stand in order.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import lmdb
+import msgspec
+import zstandard
+
+from stonetrack.capture import index
+from stonetrack.capture.codec import CaptureError
+from stonetrack.capture.index import Index
+
+NAME = "store"
+MAP = 16 << 30  # bytes of address space; the file grows as needed
+_TABLES = (b"segments", b"states", b"marks", b"notes", b"cases", b"jobs")
+
+
+@dataclass(frozen=True, slots=True)
+class Saved:
+    """A router's state kept for seeking: what it held before record ``number``."""
+
+    router: str
+    number: int
+    at: int
+    version: str
+    data: bytes
+
+
+class Store:
+    """A folder's store.  Raises CaptureError where it can't be opened or written."""
+
+    def __init__(self, folder: Path, *, readonly: bool = False, map_bytes: int = MAP) -> None:
+        self.path = folder / NAME
+        try:
+            if not readonly:
+                folder.mkdir(parents=True, exist_ok=True)
+            self._env = lmdb.open(
+                str(self.path), max_dbs=len(_TABLES), map_size=map_bytes, readonly=readonly, max_readers=256, mode=0o600
+            )
+            self._table = {name: self._env.open_db(name, create=not readonly) for name in _TABLES}
+        except (lmdb.Error, OSError) as error:
+            raise CaptureError(f"{self.path}: {error}") from None
+
+    @classmethod
+    def there(cls, folder: Path) -> Store | None:
+        """The store of a folder that has one, to read; None where there is none or it can't be read."""
+        if not (folder / NAME / "data.mdb").exists():
+            return None
+        try:
+            return cls(folder, readonly=True)
+        except CaptureError:
+            return None
+
+    def close(self) -> None:
+        """Let go of it."""
+        self._env.close()
+
+    def __enter__(self) -> Store:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def _put(self, changes: list[tuple[bytes, str, bytes | None]]) -> None:
+        """Make changes durable, all or none; None takes a key out."""
+        try:
+            with self._env.begin(write=True) as transaction:
+                for table, key, value in changes:
+                    if value is None:
+                        transaction.delete(key.encode(), db=self._table[table])
+                    else:
+                        transaction.put(key.encode(), value, db=self._table[table])
+        except lmdb.Error as error:
+            raise CaptureError(f"{self.path}: {error}") from None
+
+    def _get(self, table: bytes, key: str) -> bytes | None:
+        with self._env.begin() as transaction:
+            found = transaction.get(key.encode(), db=self._table[table])
+            return None if found is None else bytes(found)
+
+    def _all(self, table: bytes, prefix: str = "", backwards_from: str = "") -> Iterator[tuple[str, bytes]]:
+        start = prefix.encode()
+        with self._env.begin() as transaction, transaction.cursor(db=self._table[table]) as cursor:
+            if not cursor.set_range(start):
+                return
+            for key, value in cursor:
+                if not key.startswith(start):
+                    return
+                yield bytes(key).decode(), bytes(value)
+
+    # Indexes.
+
+    def index_of(self, path: Path) -> Index | None:
+        """A segment's index, where it is of the file as it stands."""
+        raw = self._get(b"segments", path.name)
+        if raw is None:
+            return None
+        found = index.from_bytes(raw)
+        status = path.stat()
+        return found if (found.size, found.stamp) == (status.st_size, status.st_mtime_ns) else None
+
+    def put_index(self, name: str, made: Index) -> None:
+        """Keep a segment's index."""
+        self._put([(b"segments", name, made.to_bytes())])
+
+    def forget(self, names: list[str], router: str = "", before: int = 0) -> None:
+        """Segments are gone: their indexes, and the router's snapshots but the last before what is left."""
+        changes: list[tuple[bytes, str, bytes | None]] = [(b"segments", name, None) for name in names]
+        old = [s.number for s in self.states(router) if s.number <= before] if router else []
+        changes += [(b"states", f"{router}/{number:020d}", None) for number in old[:-1]]
+        self._put(changes)
+
+    # Snapshots.
+
+    def put_state(self, state: Saved) -> None:
+        """Keep a router's state."""
+        data = zstandard.ZstdCompressor(level=3).compress(state.data)
+        value = msgspec.msgpack.encode([state.at, state.version, data])
+        self._put([(b"states", f"{state.router}/{state.number:020d}", value)])
+
+    def states(self, router: str) -> Iterator[Saved]:
+        """A router's states in order."""
+        for key, value in self._all(b"states", f"{router}/"):
+            at, version, data = msgspec.msgpack.decode(value)
+            yield Saved(router, int(key.rpartition("/")[2]), at, version, zstandard.ZstdDecompressor().decompress(data))
+
+    def state_before(self, router: str, number: int) -> Saved | None:
+        """The last state at or before a record."""
+        start = f"{router}/{number:020d}".encode()
+        with self._env.begin() as transaction, transaction.cursor(db=self._table[b"states"]) as cursor:
+            there = cursor.set_range(start)
+            if not (there and cursor.key() == start) and not (cursor.prev() if there else cursor.last()):
+                return None
+            name, _, found = bytes(cursor.key()).decode().rpartition("/")
+            if name != router:
+                return None
+            at, version, data = msgspec.msgpack.decode(bytes(cursor.value()))
+        return Saved(router, int(found), at, version, zstandard.ZstdDecompressor().decompress(data))
+
+    # Marks and notes.
+
+    def keep(self, name: str, why: str) -> None:
+        """Mark a segment as kept: retention never deletes it."""
+        self._put([(b"marks", name, why.encode())])
+
+    def let_go(self, name: str) -> bool:
+        """Take a mark back; whether there was one."""
+        had = self._get(b"marks", name) is not None
+        self._put([(b"marks", name, None)])
+        return had
+
+    def kept(self) -> dict[str, str]:
+        """Marked segments and why."""
+        return {name: why.decode() for name, why in self._all(b"marks")}
+
+    def note(self, at: int, about: str, text: str) -> None:
+        """Add a note about a segment or a request."""
+        self._put([(b"notes", f"{at:020d}/{about}"[:480], text.encode())])
+
+    def notes(self) -> list[tuple[int, str, str]]:
+        """All notes: when, about what, text."""
+        found = []
+        for key, text in self._all(b"notes"):
+            at, _, about = key.partition("/")
+            found.append((int(at), about, text.decode()))
+        return found
+
+    # Cases cut from this folder, and how far the tender has come.
+
+    def put_case(self, name: str, facts: dict[str, Any]) -> None:
+        """Register a case that was cut."""
+        self._put([(b"cases", name, msgspec.json.encode(facts))])
+
+    def cases(self) -> dict[str, dict[str, Any]]:
+        """Cases that were cut from this folder."""
+        return {name: msgspec.json.decode(value) for name, value in self._all(b"cases")}
+
+    def progress(self, router: str) -> dict[str, Any]:
+        """What the tender noted of a router."""
+        raw = self._get(b"jobs", router)
+        return msgspec.json.decode(raw) if raw else {}
+
+    def put_progress(self, router: str, facts: dict[str, Any]) -> None:
+        """Note how far the tender has come with a router."""
+        self._put([(b"jobs", router, msgspec.json.encode(facts))])
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -1,28 +1,43 @@
-"""Commands on captures: capture ls, show, verify; replay."""
+"""Commands on captures: ls, show, verify, explain; replay.  What changes a folder is in :mod:`.keeping`."""
 
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from pathlib import Path
 
 import click
 
-from stonetrack.capture import codec
+from stonetrack.capture import compare, explain, history, revision, seek
 from stonetrack.capture import replay as again
-from stonetrack.capture.codec import Call, Gap, Header, State
-from stonetrack.capture.recorder import SUFFIX
+from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
+from stonetrack.capture.history import Reading
+from stonetrack.capture.index import requests_of
+from stonetrack.capture.store import Store
 
 FOLDER = click.Path(exists=True, path_type=Path)
+Numbered = Iterable[tuple[int, Record]]
+
+
+class Refusal(click.ClickException):
+    """An error in plain words; exit code 2."""
+
+    exit_code = 2
 
 
 def segments(path: Path) -> dict[str, list[Path]]:
-    """Segments by router, in order: of a folder, or one file's."""
-    files = sorted(path.glob(f"*{SUFFIX}")) if path.is_dir() else [path]
-    routers: dict[str, list[Path]] = {}
-    for file in files:
-        routers.setdefault(file.stem.rpartition("-")[0], []).append(file)
-    return routers
+    """Segments by router.  Raises Refusal where there is none."""
+    found = history.routers(path)
+    if not found:
+        raise Refusal(f"{path}: no segments (*{history.SUFFIX}) here")
+    return found
+
+
+def say(damage: list[str]) -> None:
+    """Print what is wrong with the files."""
+    for text in damage:
+        click.echo(f"  damage: {text}")
 
 
 @click.group()
@@ -33,17 +48,26 @@
 @capture.command("ls")
 @click.argument("folder", type=FOLDER)
 def ls(folder: Path) -> None:
-    """List routers and their segments."""
+    """List routers and their segments; by the index where there is one."""
+    store = Store.there(folder) if folder.is_dir() else None
+    kept = store.kept() if store else {}
     for name, files in segments(folder).items():
         size = sum(file.stat().st_size for file in files)
         click.echo(f"{name}: {len(files)} segments, {size} bytes")
         for file in files:
-            records, damage = again.read_file(file)
-            calls = [record for record in records if isinstance(record, Call)]
-            span = f"{(calls[-1].at - calls[0].at) / 1e9:.3f} s" if calls else "nothing"
-            wrong = f"; offset {damage.offset}: {damage.text}" if damage else ""
-            kept = "; kept" if file.with_suffix(".keep").exists() else ""
-            click.echo(f"  {file.name}: {len(calls)} calls over {span}{kept}{wrong}")
+            made = (store.index_of(file) if store else None) or seek.index_file(file)[0]
+            span = f"{(int(made.ended[-1]) - int(made.began[0])) / 1e9:.3f} s" if made.calls else "nothing"
+            lost = f"; {made.lost} missing" if made.lost else ""
+            mark = f"; kept: {kept[file.name]}" if file.name in kept else ""
+            click.echo(f"  {file.name}: {made.calls} calls over {span}{lost}{mark}")
+        for state in store.states(name) if store else ():
+            click.echo(f"  state before record {state.number}: {len(state.data)} bytes")
+    for _, about, text in store.notes() if store else ():
+        click.echo(f"note on {about}: {text}")
+    if store is not None:
+        for case, facts in store.cases().items():
+            click.echo(f"case {case}: {facts.get('title', '')}")
+        store.close()
 
 
 @capture.command("verify")
@@ -51,13 +75,15 @@
 def verify(folder: Path) -> None:
     """Read everything; exit code 1 on damage other than a tail torn by a kill."""
     bad = 0
-    for files in segments(folder).values():
-        for file in files:
-            records, damage = again.read_file(file)
-            lost = sum(record.count for record in records if isinstance(record, Gap))
-            said = f"offset {damage.offset}: {damage.text}" if damage else "good"
-            click.echo(f"{file.name}: {len(records)} records, {lost} calls missing; {said}")
-            bad += damage is not None and not damage.text.startswith("torn")
+    for name, files in segments(folder).items():
+        reading = Reading(files)
+        records = lost = 0
+        for _, record in reading:
+            records += 1
+            lost += record.count if isinstance(record, Gap) else 0
+        click.echo(f"{name}: {records} records, {lost} missing; {'damaged' if reading.damage else 'good'}")
+        say(reading.damage)
+        bad += len(reading.damage) > reading.torn
     sys.exit(1 if bad else 0)
 
 
@@ -68,46 +94,120 @@
 def show(folder: Path, request: str, most: int) -> None:
     """Print calls and what was decided."""
     for name, files in segments(folder).items():
-        damage: list[str] = []
-        lines = _lines(again.read(files, damage), request)
+        reading = Reading(files)
+        found = reading.records() if not request else seek.about(folder, reading, request)
         click.echo(name)
-        for _, line in zip(range(most), lines, strict=False):
+        for _, line in zip(range(most), _lines(found, request), strict=False):
             click.echo(f"  {line}")
-        for text in damage:
-            click.echo(f"  damage: {text}")
+        say(reading.damage)
 
 
-def _lines(records: Iterator[codec.Record], request: str) -> Iterator[str]:
-    for record in records:
+def _lines(records: Numbered, request: str) -> Iterator[str]:
+    for number, record in records:
         if isinstance(record, Header):
-            yield f"a router begins: stonetrack {record.version}, seed {record.seed}"
+            yield f"{number} a router begins: stonetrack {record.version}, seed {record.seed}"
         elif isinstance(record, State):
-            yield f"a snapshot of {len(record.data)} bytes, at {record.at}"
+            yield f"{number} a snapshot of {len(record.data)} bytes, at {record.at}"
         elif isinstance(record, Gap):
-            yield f"{record.count} calls are missing"
-        else:
-            about = {codec.request_of(record.event), *(getattr(a, "request", "") for a in record.actions)}
-            if not request or request in about:
-                yield f"{record.at} {record.event}"
-                yield from (f"    {action}" for action in record.actions)
+            yield f"{number} {record.count} calls are missing"
+        elif not request or request in requests_of(record):
+            yield f"{number} {record.at} {record.event}"
+            yield from (f"    {action}" for action in record.actions)
+
+
+@capture.command("explain")
+@click.argument("folder", type=FOLDER)
+@click.argument("request")
+@click.option("--at", "revision_name", default="now", help="As this revision of the module would have decided.")
+def explain_request(folder: Path, request: str, revision_name: str) -> None:
+    """Why REQUEST went where it went: what was known, each candidate's scores, the exceptions that acted."""
+    module = _module(revision_name)
+    cls, reasons = explain.traced(module.logic.Router)
+    shown = 0
+
+    def look(number: int, call: Call, router: object) -> None:
+        nonlocal shown
+        if request in requests_of(call):
+            shown += 1
+            click.echo(f"{number} at {call.at}: {call.event}")
+            about = [r for r in reasons if r.request in (request, "")]
+            for line in explain.lines(about):
+                click.echo(f"    {line}")
+            for action in call.actions:
+                click.echo(f"    -> {action}")
+        reasons.clear()
+
+    for name, files in segments(folder).items():
+        reading = Reading(files)
+        found = seek.about(folder, reading, request, whole=True)
+        before = shown
+        result = again.run(
+            found,
+            partial(module.make, cls=cls),
+            look=look,
+            restore_class=cls if module.native else None,
+            request=request,
+        )
+        if shown > before:
+            click.echo(f"{name}: {shown - before} calls about {request}; replayed from record {reading.started}")
+            say(reading.damage)
+            if (other := result.difference) is not None:
+                click.echo(f"  from call {other.number} on {module.name} decides otherwise: {_plain(other.now)}")
+    if not shown:
+        raise Refusal(f"{folder}: no call about request {request!r} that can be replayed")
+
+
+def _module(name: str) -> revision.Module:
+    try:
+        return revision.load(name)
+    except (CaptureError, OSError) as error:
+        raise Refusal(str(error)) from None
+
+
+def _plain(actions: Iterable[object]) -> str:
+    return "; ".join(map(str, actions)) or "nothing"
 
 
 @click.command()
 @click.argument("folder", type=FOLDER)
 @click.option("--until", type=int, help="Stop after this time (nanoseconds, as show prints them).")
+@click.option("--since", type=int, help="Begin at the last snapshot before this time.")
 @click.option("--request", default="", help="Compare only the calls about this request.")
-def replay(folder: Path, until: int | None, request: str) -> None:
-    """Feed captures to the module again; exit code 1 where it decides otherwise."""
+@click.option("--against", default="", help="Compare with the module of this revision, decision by decision.")
+def replay(folder: Path, until: int | None, since: int | None, request: str, against: str) -> None:
+    """Feed captures to the module again; exit code 1 where it decides otherwise.
+
+    With --against, both revisions are told the same and a table shows the decisions that differ, by cause.
+    """
     differs = 0
     for name, files in segments(folder).items():
-        damage: list[str] = []
-        result = again.replay(again.read(files, damage), until=until, request=request)
-        click.echo(f"{name}: {result.calls} calls replayed, {result.skipped} skipped, {result.missing} missing")
-        for text in damage:
-            click.echo(f"  damage: {text}")
-        if (found := result.difference) is not None:
-            differs += 1
-            click.echo(f"  first difference: call {found.number} at {found.call.at}: {found.call.event}")
-            click.echo(f"    captured: {[str(a) for a in found.call.actions]}")
-            click.echo(f"    now:      {[str(a) for a in found.now]}")
+        reading = Reading(files)
+        begin = partial(seek.since, folder, reading, since) if since is not None else reading.records
+        if against:
+            differs += _against(name, begin(), _module(against), until)
+        else:
+            differs += _again(name, begin, until, request)
+        say(reading.damage)
     sys.exit(1 if differs else 0)
+
+
+def _again(name: str, begin: Callable[[], Numbered], until: int | None, request: str) -> int:
+    result = again.run(begin(), until=until, request=request)
+    click.echo(f"{name}: {result.calls} calls replayed, {result.skipped} skipped, {result.missing} missing")
+    if (found := result.difference) is None:
+        return 0
+    click.echo(f"  first difference: call {found.number} at {found.call.at}: {found.call.event}")
+    click.echo(f"    captured: {_plain(found.call.actions)}")
+    click.echo(f"    now:      {_plain(found.now)}")
+    for line in again.reasons_at(begin(), found.number):
+        click.echo(f"      {line}")
+    return 1
+
+
+def _against(name: str, records: Numbered, module: revision.Module, until: int | None) -> int:
+    bounded = ((n, r) for n, r in records if until is None or getattr(r, "at", 0) <= until)
+    result = compare.compare(bounded, module)
+    click.echo(f"{name}:")
+    for line in compare.table(result, ("now", module.name)):
+        click.echo(f"  {line}")
+    return int(bool(result.changes))
--- /dev/null
+++ b/tests/test_background.py
@@ -0,0 +1,201 @@
+"""The background: the wheel against a plain list, the plan's promises, the thread."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from stonetrack.background.plan import SECOND, Budget, Job, Plan, State, Step
+from stonetrack.background.runner import Runner
+from stonetrack.background.wheel import REACH, Timer, Wheel
+from tests.rig import wait_for
+
+MS = 1_000_000
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("add"), st.one_of(st.integers(0, 3_000), st.integers(0, 1 << 34))),
+        st.tuples(st.just("cancel"), st.integers(0, 50)),
+        st.tuples(st.just("advance"), st.one_of(st.integers(0, 600), st.integers(0, 1 << 33))),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(st.integers(0, 1 << 40), st.integers(1, 7), STEPS)
+def test_a_wheel_gives_out_what_a_plain_list_would(start: int, tick: int, steps: list[tuple[str, int]]) -> None:
+    wheel: Wheel[int] = Wheel(start, tick)
+    plain: dict[int, int] = {}
+    timers: list[Timer[int]] = []
+    now = start
+    for what, number in steps:
+        if what == "add":
+            plain[len(timers)] = now + number
+            timers.append(wheel.add(now + number, len(timers)))
+        elif what == "cancel" and timers:
+            which = number % len(timers)
+            assert wheel.cancel(timers[which]) == (plain.pop(which, None) is not None)
+        elif what == "advance":
+            comes = wheel.next_due()
+            now += number
+            ready = [n for n, due in plain.items() if -(-due // tick) <= now // tick]
+            expected = sorted(ready, key=lambda n: (plain[n], n))
+            assert wheel.advance(now) == expected
+            assert not expected or (comes is not None and comes <= now)
+            for n in expected:
+                del plain[n]
+        assert len(wheel) == len(plain)
+    assert (wheel.next_due() is None) == (not plain)
+
+
+def test_a_timer_past_the_wheels_reach_is_neither_early_nor_lost() -> None:
+    wheel: Wheel[str] = Wheel(0, 1)
+    wheel.add(REACH * 3 + 5, "far")
+    assert wheel.advance(REACH * 3 + 4) == []
+    assert wheel.advance(REACH * 3 + 5) == ["far"] and len(wheel) == 0
+    with pytest.raises(ValueError, match="tick: 0; allowed"):
+        Wheel(0, 0)
+
+
+def job(name: str, budget: str = "b", **more: object) -> Job:
+    return Job(name, lambda: Step(True), budget, **more)  # type: ignore[arg-type]
+
+
+class Played:
+    """A plan driven by hand: each step takes what the job's name tells it to."""
+
+    def __init__(self, *budgets: Budget, **more: int) -> None:
+        self.now = 0
+        self.plan = Plan(0, budgets, **more)
+        self.ran: list[tuple[int, str]] = []
+
+    def until(self, end: int, took: Callable[[Job], int], step: Callable[[Job], Step | None]) -> None:
+        for _ in range(100_000):
+            found = self.plan.next(self.now)
+            if isinstance(found, Job):
+                self.ran.append((self.now, found.name))
+                cost = took(found)
+                self.now += cost
+                self.plan.ran(self.now, found, cost, step(found), "broken")
+            elif found is None or found >= end:
+                return
+            else:
+                self.now = max(found, self.now + 1)
+            if self.now >= end:
+                return
+
+
+@settings(max_examples=25, deadline=None)
+@given(st.floats(0.01, 0.5), st.lists(st.integers(8, 60), min_size=1, max_size=5))
+def test_a_budget_is_kept_over_any_span_but_for_its_burst_and_one_step(share: float, costs: list[int]) -> None:
+    played = Played(Budget("b", share=share, burst_seconds=0.5))
+    for n, _ in enumerate(costs):
+        played.plan.submit(0, job(str(n)))
+    used: list[tuple[int, int]] = []
+
+    def took(each: Job) -> int:
+        cost = costs[int(each.name)] * MS
+        used.append((played.now, cost))
+        return cost
+
+    played.until(6 * SECOND, took, lambda each: Step(False))
+    for i, (start, _) in enumerate(used[::5]):
+        spent = 0
+        for at, cost in used[5 * i :]:
+            end, spent = at + cost, spent + cost
+            assert spent <= share * (end - start) + share * 0.5 * SECOND + max(costs) * MS + MS
+    total = sum(cost for _, cost in used)
+    assert total >= 0.8 * share * 6 * SECOND  # and it is used
+
+
+def test_bytes_are_a_budget_of_their_own() -> None:
+    played = Played(Budget("b", share=0.0, bytes_per_second=1_000_000, burst_seconds=0.1))
+    played.plan.submit(0, job("j"))
+    played.until(10 * SECOND, lambda each: 1, lambda each: Step(False, 50_000))
+    assert 9.5e6 <= sum(50_000 for _ in played.ran) <= 10.3e6
+
+
+def test_the_higher_priority_runs_first_and_the_lower_does_not_starve() -> None:
+    played = Played(Budget("b", share=0.0), aging=SECOND)
+    played.plan.submit(0, job("low", priority=0))
+    played.plan.submit(0, job("high", priority=3))
+    played.until(20 * SECOND, lambda each: 10 * MS, lambda each: Step(False))
+    names = [name for _, name in played.ran]
+    assert names[:100] == ["high"] * 100
+    assert 4 <= names.count("low") <= 12
+
+
+def test_a_deadline_overdraws_its_budget_so_far_and_no_further() -> None:
+    for deadline, least, most in ((None, 95, 105), (5 * SECOND, 115, 126)):
+        played = Played(Budget("b", share=0.1, burst_seconds=0.1, debt=2.0))
+        played.plan.submit(0, job("j", deadline=deadline))
+        played.until(10 * SECOND, lambda each: 10 * MS, lambda each: Step(False))
+        assert least <= len(played.ran) <= most
+    # What is late runs before what is merely important.
+    played = Played(Budget("b", share=0.0))
+    played.plan.submit(0, job("important", priority=9))
+    played.plan.submit(0, job("late", deadline=0))
+    assert isinstance(first := played.plan.next(0), Job) and first.name == "late"
+
+
+def test_a_failing_job_is_tried_again_ever_later_then_given_up() -> None:
+    played = Played(Budget("b", share=0.0))
+    failing = job("bad", tries=4)
+    played.plan.submit(0, failing)
+    played.plan.submit(0, job("good", every=SECOND))
+    played.until(30 * SECOND, lambda each: 1, lambda each: Step(True) if each.name == "good" else None)
+    at = [when // SECOND for when, name in played.ran if name == "bad"]
+    assert at == [0, 1, 3, 7] and failing.state is State.ENDED and failing.error == "broken"
+    assert len([1 for _, name in played.ran if name == "good"]) >= 29
+    assert list(played.plan.jobs) == ["good"]
+
+
+def test_what_was_cancelled_never_runs_and_what_is_hastened_runs_at_once() -> None:
+    plan = Plan(0, (Budget("b", share=0.0),))
+    one, two = job("one"), job("two")
+    plan.submit(0, one, due=5 * SECOND)
+    plan.submit(0, two, due=5 * SECOND)
+    plan.cancel(one)
+    plan.hasten(0, two, deadline=0)
+    assert plan.next(1 * MS) is two
+    plan.cancel(two)
+    plan.ran(2 * MS, two, 1, Step(False))
+    assert plan.next(60 * SECOND) is None and two.state is State.ENDED
+    with pytest.raises(ValueError, match="budget 'x'; allowed: b"):
+        plan.submit(0, job("three", budget="x"))
+    plan.submit(0, job("three"))
+    with pytest.raises(ValueError, match="of this name"):
+        plan.submit(0, job("three"))
+
+
+def test_the_thread_runs_steps_and_outlives_what_they_raise() -> None:
+    said: list[str] = []
+    left = [3]
+    done = threading.Event()
+
+    def work() -> Step:
+        left[0] -= 1
+        if not left[0]:
+            done.set()
+        return Step(not left[0], 10)
+
+    def broken() -> Step:
+        raise OSError("no such disk")
+
+    runner = Runner((Budget("b", share=0.0),), said.append)
+    runner.submit(Job("broken", broken, "b", tries=1))
+    counted = Job("work", work, "b")
+    runner.submit(counted)
+    later = Job("later", lambda: Step(True), "b")
+    runner.submit(later, delay=3_600 * SECOND)
+    runner.start()
+    assert done.wait(10.0) and wait_for(lambda: [j.name for j in runner.jobs()] == ["later"])
+    assert counted.steps == 3 and counted.bytes == 30
+    assert said == ["background: broken given up after 1 tries: OSError: no such disk"]
+    runner.hasten(later)
+    assert wait_for(lambda: not runner.jobs())
+    runner.stop()
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -16,8 +16,9 @@
 from stonetrack import api
 from stonetrack.capture import codec, segment, snapshot
 from stonetrack.capture.codec import Call, CaptureError, Gap, Header
+from stonetrack.capture.history import Reading, read
 from stonetrack.capture.recorder import Recorder
-from stonetrack.capture.replay import read, read_file, replay
+from stonetrack.capture.replay import replay
 from stonetrack.logic import Router
 from tests.bed import FLEET, SETTINGS, Bed
 from tests.rig import Client, chat, rig, wait_for
@@ -127,7 +128,7 @@
         ends = {len(segment.MAGIC), *(b.offset + b.size for b in blocks)}
         assert (torn is None) == (at in ends)
         if torn is not None and at > len(segment.MAGIC):
-            assert torn.text.startswith("torn") and torn.offset <= at
+            assert torn.torn and torn.text.startswith("torn") and torn.offset <= at
 
 
 def test_a_flipped_bit_is_found_and_named_and_the_rest_stays_readable(tmp_path: Path) -> None:
@@ -141,13 +142,20 @@
         flipped = bytearray(data)
         flipped[at] ^= 1 << draw.randrange(8)
         path.write_bytes(flipped)
-        records, damage = read_file(path)
+        reading = Reading([path])
+        records = [record for _, record in reading]
         hit = next(b for b in blocks if b.offset <= at < b.offset + b.size)
         if at in range(hit.offset + 28, hit.offset + 32):
             continue  # four bytes that mean nothing
-        assert damage is not None and damage.offset == hit.offset
+        assert f"{path.name}: offset {hit.offset}: " in reading.damage[0]
         before = sum(b.records for b in blocks if b.offset < hit.offset)
         assert len(records) >= before
+        after = [b for b in blocks if b.offset > hit.offset]
+        length_hit = at < hit.offset + 4  # the block's length: where the next begins can't be known
+        if after and hit.first and not length_hit:
+            gaps = [record for record in records if isinstance(record, Gap)]
+            assert [gap.count for gap in gaps] == [hit.records] and len(records) == 61 - hit.records + 1
+            assert replay(records).same
 
 
 def test_what_can_not_be_taken_is_counted_and_said(tmp_path: Path) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,18 +17,21 @@
     "settings": set(),
     "engines": {"node", "wire", "settings"},
     "fronts": {"node", "wire", "settings"},
-    "capture": {"logic"},
-    "daemon": {"capture", "fronts", "engines", "node", "wire", "settings", "logic"},
+    "background": set(),
+    "capture": {"logic", "background"},
+    "daemon": {"background", "capture", "fronts", "engines", "node", "wire", "settings", "logic"},
     "standin": {"engines", "wire"},
     "day": {"standin", "engines", "wire", "settings"},
-    "cli": {"capture", "day", "standin", "daemon", "fronts", "engines", "settings"},
+    "cli": {"background", "capture", "day", "standin", "daemon", "fronts", "engines", "settings"},
 }
 IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
 PURE = [
     "wire/*.py", "node/life.py", "node/ports.py", "engines/protocol.py", "engines/load.py", "engines/listing.py",
     "engines/releases.py", "fronts/answers.py", "fronts/classify.py", "fronts/auth.py", "fronts/errors.py",
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
-    "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "logic.py", "api.py",
+    "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
+    "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
+    "capture/journal.py", "background/wheel.py", "background/plan.py", "logic.py", "api.py",
 ]  # fmt: skip
 BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
 # A helper of the standard library that opens nothing: reading a query string.
--- /dev/null
+++ b/tests/test_replaying.py
@@ -0,0 +1,254 @@
+"""Why and what if: explanations, other revisions, and finding the middle of a capture."""
+
+from __future__ import annotations
+
+import random
+import types
+from pathlib import Path
+
+import pytest
+
+from stonetrack import api, logic
+from stonetrack.capture import compare, explain, history, index, revision, seek, snapshot
+from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
+from stonetrack.capture.history import Reading
+from stonetrack.capture.replay import replay, run
+from stonetrack.capture.store import Saved, Store
+from stonetrack.logic import Router
+from tests.test_capture import HEADER, calls, command, files, write
+
+ROOT = Path(__file__).parent.parent
+LOGIC, API = ((ROOT / "stonetrack" / name).read_text("utf-8") for name in ("logic.py", "api.py"))
+
+
+def numbered(made: list[Call]) -> list[tuple[int, Record]]:
+    return list(enumerate([HEADER, *made]))
+
+
+def test_watching_a_router_changes_no_decision_and_no_state() -> None:
+    made = calls(1_200)
+    cls, reasons = explain.traced(Router)
+    watched, plain = cls(HEADER.settings, 1), Router(HEADER.settings, 1)
+    for call in made:
+        assert tuple(watched.handle(call.at, call.event)) == call.actions
+        plain.handle(call.at, call.event)
+    assert snapshot.take(watched) == snapshot.take(plain)
+    assert {r.what for r in reasons} >= {"reader", "writer", "paused", "left out"}
+    assert not any(r.what == "not explained" for r in reasons)
+
+
+def test_an_explanation_shows_what_was_known_and_why_others_were_not_chosen() -> None:
+    made = calls(600)
+    cls, reasons = explain.traced(Router)
+    router = cls(HEADER.settings, 1)
+    for call in made:
+        reasons.clear()
+        sends = [a for a in router.handle(call.at, call.event) if isinstance(a, api.Send)]
+        choices = [r for r in reasons if isinstance(r, explain.Choice)]
+        for choice in choices:
+            stood = [c for c in choice.candidates if not c.out]
+            assert [c.name for c in choice.candidates if c.chosen] == [choice.chosen] * bool(choice.chosen)
+            assert len(choice.candidates) == 4 and (stood or not choice.chosen)
+            assert all(c.out or c.score is not None for c in choice.candidates if choice.what == "reader")
+            if choice.what == "reader" and choice.chosen and not choice.exceptions:
+                assert max(c.score or 0.0 for c in stood) == pytest.approx(
+                    next(c.score for c in stood if c.chosen), abs=1e-9
+                )
+        if isinstance(call.event, api.RequestArrived) and sends:
+            assert choices[0].what == "reader" and choices[0].chosen == sends[0].server
+    text = "\n".join(explain.lines(reasons))
+    assert "reader: " in text and "score" in text
+
+
+def test_a_module_compared_with_itself_has_no_row_and_a_changed_one_shows_by_cause() -> None:
+    made = calls(1_000)
+    same = revision.from_texts("same", LOGIC, API)
+    assert same.native and same.logic is not logic
+    assert not compare.compare(numbered(made), same).changes
+    cases = [
+        ("WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 3.0, 2.0, 2.0", "= 0.0, 2.0, 2.0", "reader: scores or ties"),
+        ("PAUSE_LEAST, PAUSE_MOST = 300 * MS, 16 * SECOND", "= 1, 2", "reader: who stands to choice"),
+        ("SWEEP = 50 * MS", "= 51 * MS", "SetTimer.delay"),
+        ("ADMIT, ADMIT_LOW = 0.9, 0.5", "= 0.001, 0.0", "Send -> Refuse"),
+    ]
+    for line, new, cause in cases:
+        assert line in LOGIC
+        other = revision.from_texts("other", LOGIC.replace(line, line.partition(" = ")[0] + " " + new), API)
+        found = compare.compare(numbered(made), other)
+        assert found.stepwise and found.calls == 1_000
+        assert any(name.startswith(cause) for name in found.causes), (cause, found.causes)
+        text = "\n".join(compare.table(found, ("now", "other")))
+        assert f"{len(found.changes)} decided otherwise by other" in text and cause in text
+
+
+def test_each_row_is_judged_on_equal_knowledge() -> None:
+    """A change that acts on one request alone must give rows of that request alone, however much follows from it."""
+    made = calls(800)
+    victim = next(c.event.request for c in made[300:] if isinstance(c.event, api.RequestArrived))
+    arrived = "if isinstance(event, api.RequestArrived):"
+    assert arrived in LOGIC
+    text = LOGIC.replace(arrived, f"{arrived[:-1]} and event.request != {victim!r}:")
+    found = compare.compare(numbered(made), revision.from_texts("deaf", text, API))
+    assert [c.request for c in found.changes] == [victim]
+
+
+def test_a_revision_with_other_state_is_compared_as_far_as_it_goes() -> None:
+    made = calls(800)
+    text = LOGIC.replace("        self.timer_set = False\n", "        self.timer_set = self.more = False\n", 1)
+    text = text.replace("WEIGHT_MEMORY = 3.0, 2.0, 2.0", "WEIGHT_MEMORY = 0.0, 2.0, 2.0")
+    found = compare.compare(numbered(made), revision.from_texts("more", text, API))
+    assert found.changes and not found.stepwise
+    assert "goes on by itself" in "\n".join(compare.table(found, ("now", "more")))
+
+
+def test_a_revision_of_another_interface_is_spoken_to_by_the_names_of_fields() -> None:
+    made = calls(400)
+    old_api = API.replace("    resumed: bool = False\n", "").replace(
+        "    kept_tokens: int = 0\n", "    kept_tokens: int = 0\n    x: int = 0\n"
+    )
+    other = revision.from_texts("old", LOGIC, old_api)
+    assert not other.native
+    assert not compare.compare(numbered(made), other).changes
+    with pytest.raises(CaptureError, match="no TimerFired"):
+        revision.translate(api.TimerFired(0), types.ModuleType("less"))
+    with pytest.raises(CaptureError, match="SyntaxError"):
+        revision.from_texts("broken", "def", API)
+
+
+def test_a_revision_that_is_none_is_refused_plainly() -> None:
+    for name in ("no-such-revision", "--help"):
+        with pytest.raises(CaptureError, match="no-such-revision|is no revision"):
+            revision.load(name, ROOT)
+    assert revision.load("now").logic is logic
+
+
+# Finding the middle.
+
+
+def stored(folder: Path, every: int = 400) -> Store:
+    """A folder's index and states, as the tender makes them."""
+    store = Store(folder)
+    for name, paths in history.routers(folder).items():
+        for path in paths:
+            store.put_index(path.name, seek.index_file(path)[0])
+        router = Router(HEADER.settings, 1)
+        for number, record in Reading(paths):
+            if isinstance(record, Call):
+                if number % every == 0:
+                    store.put_state(Saved(name, number, record.at, "test", snapshot.take(router)))
+                router.handle(record.at, record.event)
+    return store
+
+
+def test_seeking_gives_what_reading_from_the_start_does(tmp_path: Path) -> None:
+    made = calls(2_000)
+    write(tmp_path, made, segment_bytes=5_000, block=50)
+    stored(tmp_path).close()
+    (paths,) = history.routers(tmp_path).values()
+    draw = random.Random(5)
+    assert len(paths) > 3
+    for call in draw.sample(made, 25):
+        found = list(seek.since(tmp_path, Reading(paths), call.at))
+        assert isinstance(found[0][1], (State, Header)) and found[0][0] <= made.index(call) + 1
+        begun = found[0][0] + isinstance(found[0][1], Header)
+        assert [r for _, r in found[1:]] == [r for _, r in numbered(made)][begun:]
+        result = run(found)
+        assert result.same and result.calls == len(found) - 1
+    late = list(seek.since(tmp_path, Reading(paths), made[-1].at))
+    assert late[0][0] >= 1_600
+    for call in draw.sample(made, 25):
+        for request in index.requests_of(call):
+            expected = [(n, r) for n, r in numbered(made) if request in index.requests_of(r)]
+            plain = [
+                (n, r) for n, r in seek.about(tmp_path, Reading(paths), request) if request in index.requests_of(r)
+            ]
+            assert plain == expected
+            whole = list(seek.about(tmp_path, Reading(paths), request, whole=True))
+            assert [each for each in whole if request in index.requests_of(each[1])] == expected
+            assert run(whole).same
+    assert list(seek.about(tmp_path, Reading(paths), "nobody")) == []
+
+
+def test_an_index_of_another_file_is_not_believed(tmp_path: Path) -> None:
+    write(tmp_path, calls(200), block=50)
+    with stored(tmp_path) as store:
+        (path,) = files(tmp_path)
+        assert store.index_of(path) is not None
+        path.write_bytes(path.read_bytes() + b"x")
+        assert store.index_of(path) is None
+    with pytest.raises(CaptureError, match="index"):
+        index.from_bytes(b"\x91\x01")
+
+
+def test_what_the_store_was_told_is_there_again(tmp_path: Path) -> None:
+    with Store(tmp_path) as store:
+        store.keep("a.cap", "the long weekend")
+        store.note(7, "chatcmpl-1", "went to r1, why?")
+        store.put_case("case", {"title": "t"})
+        for number in (0, 100, 200):
+            store.put_state(Saved("i0.1", number, number, "v", b"x" * 10))
+        store.put_state(Saved("i0.10", 50, 50, "v", b"y"))
+    with Store(tmp_path) as store:
+        assert store.kept() == {"a.cap": "the long weekend"}
+        assert store.notes() == [(7, "chatcmpl-1", "went to r1, why?")]
+        assert store.cases() == {"case": {"title": "t"}}
+        found = [getattr(store.state_before("i0.1", n), "number", None) for n in (0, 99, 100, 500)]
+        assert found == [0, 0, 100, 200] and store.state_before("i0.0", 9) is None
+        assert [s.number for s in store.states("i0.1")] == [0, 100, 200]
+        store.forget([], "i0.1", 150)
+        assert [s.number for s in store.states("i0.1")] == [100, 200]
+        assert store.let_go("a.cap") and not store.let_go("a.cap")
+    (tmp_path / "file").write_text("")
+    with pytest.raises(CaptureError, match="store"):
+        Store(tmp_path / "file")
+
+
+def test_a_missing_segment_is_named_and_what_follows_is_not_replayed_over_it(tmp_path: Path) -> None:
+    made = calls(2_000)
+    write(tmp_path, made, segment_bytes=4_000, block=200)
+    paths = files(tmp_path)
+    paths[1].unlink()
+    reading = Reading(files(tmp_path))
+    records = list(reading)
+    gaps = [record for _, record in records if isinstance(record, Gap)]
+    assert len(gaps) == 1 and gaps[0].count + len(records) - 1 == 2_001
+    assert f"{gaps[0].count} records are missing" in reading.damage[0] and paths[2].name in reading.damage[0]
+    result = replay([record for _, record in records])
+    assert result.same and result.skipped and result.calls + result.skipped == len(records) - 2
+
+
+def test_the_commands_speak_plainly(tmp_path: Path) -> None:
+    made = calls(600)
+    write(tmp_path, made, block=100)
+    stored(tmp_path, 200).close()
+    request = next(c.event.request for c in made[400:] if isinstance(c.event, api.RequestArrived))
+    told = command("capture", "explain", str(tmp_path), request)
+    assert told.returncode == 0 and "RequestArrived" in told.stdout and "-> Send(" in told.stdout, told.stderr
+    assert "score" in told.stdout and "expected" in told.stdout
+    nobody = command("capture", "explain", str(tmp_path), "nobody")
+    assert nobody.returncode == 2 and "nobody" in nobody.stderr and "Traceback" not in nobody.stderr
+    (tmp_path / "module").mkdir()
+    (tmp_path / "module" / "api.py").write_text(API)
+    (tmp_path / "module" / "logic.py").write_text(LOGIC.replace("SWEEP = 50 * MS", "SWEEP = 51 * MS"))
+    against = command("replay", str(tmp_path), "--against", str(tmp_path / "module"))
+    assert against.returncode == 1 and "SetTimer.delay" in against.stdout, against.stdout + against.stderr
+    assert command("replay", str(tmp_path), "--since", str(made[500].at)).stdout.count("calls replayed") == 1
+    bad = command("replay", str(tmp_path), "--against", "no-such-revision")
+    assert bad.returncode == 2 and "no-such-revision" in bad.stderr and "Traceback" not in bad.stderr
+    empty = tmp_path / "empty"
+    empty.mkdir()
+    nothing = command("replay", str(empty))
+    assert nothing.returncode == 2 and "no segments" in nothing.stderr
+    listed = command("capture", "ls", str(tmp_path))
+    assert "600 calls" in listed.stdout and "state before record 400" in listed.stdout
+
+
+def test_a_difference_is_shown_with_the_scores_behind_it(tmp_path: Path) -> None:
+    made = calls(400)
+    n = next(i for i, c in enumerate(made) if i > 200 and any(isinstance(a, api.Send) for a in c.actions))
+    send = next(a for a in made[n].actions if isinstance(a, api.Send))
+    wrong = tuple(api.Send(a.request, "r9") if a is send else a for a in made[n].actions)
+    write(tmp_path, [*made[:n], Call(made[n].at, made[n].event, wrong), *made[n + 1 :]])
+    told = command("replay", str(tmp_path))
+    assert told.returncode == 1 and f"call {n + 1} at" in told.stdout and "r9" in told.stdout
+    assert f"> {send.server}" in told.stdout
