--- a/stonetrack/capture/history.py
+++ b/stonetrack/capture/history.py
@@ -14,10 +14,9 @@
 
 from stonetrack.capture import codec, segment
 from stonetrack.capture.codec import CaptureError, Gap, Record
+from stonetrack.capture.journal import SUFFIX
 from stonetrack.capture.segment import Block
 
-SUFFIX = ".cap"
-
 
 def router_of(path: Path) -> str:
     """The router of a segment's name: ``NAME.START`` of ``NAME.START-CLOCK.cap``."""
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -14,6 +14,7 @@
 from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
 from stonetrack.capture.history import Reading
 from stonetrack.capture.index import requests_of
+from stonetrack.capture.journal import SUFFIX
 from stonetrack.capture.store import Store
 
 FOLDER = click.Path(exists=True, path_type=Path)
@@ -30,7 +31,7 @@
     """Segments by router.  Raises Refusal where there is none."""
     found = history.routers(path)
     if not found:
-        raise Refusal(f"{path}: no segments (*{history.SUFFIX}) here")
+        raise Refusal(f"{path}: no segments (*{SUFFIX}) here")
     return found
 
 
