Captures tended in the background: indexed, checked, replayed, packed, kept within budget

Need: what was written was never looked at again until somebody asked, and the answer then took a reading from the start.

Change: the supervisor runs jobs over closed segments under a budget of time and bytes: index and checksums, states by a replay that proves the decisions again, packing by rename, retention with marks. Commands keep, note, tend. Seeking by time and request uses them.

--- a/stonetrack/capture/history.py
+++ b/stonetrack/capture/history.py
@@ -61,7 +61,8 @@
             for block in blocks:
                 if end is not None and block.first >= end:
                     return
-                yield from self._hole(path, block)
+                if block.first > first:  # a hole before what is asked for is none of its
+                    yield from self._hole(path, block)
                 if block.first + block.records > first:
                     yield from self._block(path, data, block, first)
                 self.expected = block.first + block.records
--- a/stonetrack/capture/index.py
+++ b/stonetrack/capture/index.py
@@ -62,12 +62,10 @@
     calls: int = 0
     lost: int = 0  # calls that it says are missing
 
-    def at_time(self, clock: int) -> int | None:
-        """The number of the first record of the block that holds this time, or the last before it."""
-        if not len(self.first):
-            return None
-        which = max(0, int(numpy.searchsorted(self.began, clock, side="right")) - 1)
-        return int(self.first[which])
+    def end_at(self, clock: int) -> int:
+        """The number after the block that holds this time, or the last one before it; 0 where there is none."""
+        which = int(numpy.searchsorted(self.began, clock, side="right")) - 1
+        return int(self.first[which] + self.records[which]) if which >= 0 else 0
 
     def of_request(self, request: str) -> list[int]:
         """The blocks (by their first record's number) that may name a request."""
--- a/stonetrack/capture/recorder.py
+++ b/stonetrack/capture/recorder.py
@@ -170,7 +170,7 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         flags = os.O_WRONLY | os.O_CREAT | os.O_EXCL | os.O_APPEND | os.O_CLOEXEC
         self._file = os.open(self.folder / name, flags, 0o600)
-        fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        fcntl.flock(self._file, fcntl.LOCK_EX)  # waits for a look of who tends at most
         with contextlib.suppress(CaptureError):  # a store that can't be read must not stop the capture
             retain(self.folder, self._budget)
 
--- a/stonetrack/capture/seek.py
+++ b/stonetrack/capture/seek.py
@@ -37,9 +37,11 @@
     return [store.index_of(file) or index_file(file)[0] for file in files]
 
 
-def _from_state(reading: Reading, store: Store, number: int) -> Numbered:
-    """The records from the last state at or before a number on, that state first."""
+def _from_state(reading: Reading, store: Store, number: int, clock: int | None = None) -> Numbered:
+    """The records from the last state at or before a number (and a time) on, that state first."""
     state = store.state_before(_router(reading), number)
+    while state is not None and clock is not None and state.at > clock:
+        state = store.state_before(_router(reading), state.number - 1)
     if state is None:
         yield from reading.records()
         return
@@ -65,9 +67,11 @@
     """The records from the last state before a time on."""
 
     def do(store: Store) -> Numbered:
-        found = [n for made in _indexes(store, reading.files) if len(made.began) and int(made.began[0]) <= clock
-                 and (n := made.at_time(clock)) is not None]  # fmt: skip
-        return _from_state(reading, store, max(found, default=0))
+        end = 0
+        for made in _indexes(store, reading.files):
+            if len(made.began) and int(made.began[0]) <= clock:
+                end = max(end, made.end_at(clock))
+        return _from_state(reading, store, end, clock)
 
     return _with_store(folder, do, reading.records)
 
--- a/stonetrack/capture/store.py
+++ b/stonetrack/capture/store.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import threading
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
@@ -39,34 +40,59 @@
     data: bytes
 
 
+class _Shared:
+    """LMDB may be opened once in a process: those who have the same folder open share one environment."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._open: dict[Path, tuple[Any, int]] = {}
+
+    def take(self, path: Path, map_bytes: int) -> Any:
+        with self._lock:
+            env, users = self._open.get(path, (None, 0))
+            if env is None:
+                env = lmdb.open(str(path), max_dbs=len(_TABLES), map_size=map_bytes, max_readers=256, mode=0o600)
+            self._open[path] = env, users + 1
+            return env
+
+    def give(self, path: Path) -> None:
+        with self._lock:
+            env, users = self._open.pop(path)
+            if users > 1:
+                self._open[path] = env, users - 1
+            else:
+                env.close()
+
+
+_SHARED = _Shared()
+
+
 class Store:
     """A folder's store.  Raises CaptureError where it can't be opened or written."""
 
-    def __init__(self, folder: Path, *, readonly: bool = False, map_bytes: int = MAP) -> None:
-        self.path = folder / NAME
+    def __init__(self, folder: Path, *, map_bytes: int = MAP) -> None:
+        self.path = folder.resolve() / NAME
+        self._closed = True
         try:
-            if not readonly:
-                folder.mkdir(parents=True, exist_ok=True)
-            self._env = lmdb.open(
-                str(self.path), max_dbs=len(_TABLES), map_size=map_bytes, readonly=readonly, max_readers=256, mode=0o600
-            )
-            self._table = {name: self._env.open_db(name, create=not readonly) for name in _TABLES}
+            folder.mkdir(parents=True, exist_ok=True)
+            self._env = _SHARED.take(self.path, map_bytes)
+            self._closed = False
+            self._table = {name: self._env.open_db(name) for name in _TABLES}
         except (lmdb.Error, OSError) as error:
+            self.close()
             raise CaptureError(f"{self.path}: {error}") from None
 
     @classmethod
     def there(cls, folder: Path) -> Store | None:
-        """The store of a folder that has one, to read; None where there is none or it can't be read."""
-        if not (folder / NAME / "data.mdb").exists():
-            return None
-        try:
-            return cls(folder, readonly=True)
-        except CaptureError:
-            return None
+        """The store of a folder that has one.  Raises CaptureError where it can't be opened: who is to delete must
+        not take that for no marks."""
+        return cls(folder) if (folder / NAME / "data.mdb").exists() else None
 
     def close(self) -> None:
         """Let go of it."""
-        self._env.close()
+        if not self._closed:
+            self._closed = True
+            _SHARED.give(self.path)
 
     def __enter__(self) -> Store:
         return self
@@ -91,7 +117,7 @@
             found = transaction.get(key.encode(), db=self._table[table])
             return None if found is None else bytes(found)
 
-    def _all(self, table: bytes, prefix: str = "", backwards_from: str = "") -> Iterator[tuple[str, bytes]]:
+    def _all(self, table: bytes, prefix: str = "") -> Iterator[tuple[str, bytes]]:
         start = prefix.encode()
         with self._env.begin() as transaction, transaction.cursor(db=self._table[table]) as cursor:
             if not cursor.set_range(start):
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -50,7 +50,10 @@
 @click.argument("folder", type=FOLDER)
 def ls(folder: Path) -> None:
     """List routers and their segments; by the index where there is one."""
-    store = Store.there(folder) if folder.is_dir() else None
+    try:
+        store = Store.there(folder) if folder.is_dir() else None
+    except CaptureError as error:
+        raise Refusal(str(error)) from None
     kept = store.kept() if store else {}
     for name, files in segments(folder).items():
         size = sum(file.stat().st_size for file in files)
--- a/stonetrack/cli/main.py
+++ b/stonetrack/cli/main.py
@@ -5,7 +5,7 @@
 import click
 
 from stonetrack import __version__
-from stonetrack.cli import capturing, serving, trying
+from stonetrack.cli import capturing, keeping, serving, trying
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -26,3 +26,5 @@
     capturing.replay,
 ):
     main.add_command(command)
+for command in (keeping.keep, keeping.note, keeping.tend):
+    capturing.capture.add_command(command)
--- a/stonetrack/daemon/supervisor.py
+++ b/stonetrack/daemon/supervisor.py
@@ -27,6 +27,8 @@
 
 import msgspec
 
+from stonetrack.capture.codec import CaptureError
+from stonetrack.capture.tend import Tender
 from stonetrack.daemon.instance import raise_limits
 from stonetrack.fronts.host import listen
 from stonetrack.settings import Node, SettingsError, load
@@ -70,6 +72,7 @@
         self._wake_read, self._wake_write = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
         self._signals: list[int] = []
         self._told_ready = False
+        self._tender: Tender | None = None
         if settings.state_dir:
             Path(settings.state_dir).mkdir(parents=True, exist_ok=True)
 
@@ -148,6 +151,7 @@
         try:
             for child in self.children:
                 self._spawn(child)
+            self._tend()
             while True:
                 self._wait()
                 signals, self._signals = self._signals, []
@@ -169,6 +173,25 @@
             for number, handler in before.items():
                 signal.signal(number, handler)
             self.listener.close()
+            self._stop_tending()
+
+    def _tend(self) -> None:
+        """Look after the folder of captures, where there is one: here, since this process has nothing else to do."""
+        wanted = self.settings.capture
+        if not wanted.dir or not wanted.tend_share:
+            return
+        try:
+            self._tender = Tender(
+                Path(wanted.dir), budget_bytes=wanted.budget_bytes, log=self.log.warning, share=wanted.tend_share,
+                bytes_per_second=float(wanted.tend_bytes_per_second), states_every=wanted.states_every)  # fmt: skip
+            self._tender.start()
+        except (CaptureError, OSError) as error:
+            self.log.error("captures are not tended", error=str(error))
+
+    def _stop_tending(self) -> None:
+        if self._tender is not None:
+            self._tender.stop()
+            self._tender = None
 
     def _wait(self) -> None:
         poller = select.poll()
@@ -201,7 +224,11 @@
         if settings.listen != self.settings.listen:
             self.log.error("settings refused, nothing changed", errors=["$.listen: a change needs a restart"])
             return False
+        tend_anew = settings.capture != self.settings.capture
         self.settings = settings
+        if tend_anew:
+            self._stop_tending()
+            self._tend()
         for child in self.children:
             if child.process is not None:
                 self._send(child, settings)
--- a/stonetrack/settings/schema.py
+++ b/stonetrack/settings/schema.py
@@ -164,6 +164,9 @@
     budget_bytes: Annotated[int, Meta(ge=65_536)] = 256 << 20
     waiting: Annotated[int, Meta(ge=100, le=10_000_000)] = 50_000
     sync: bool = True
+    tend_share: Share = 0.05  # of one core, in the supervisor, for indexes, checks, states and packing; 0: not tended
+    tend_bytes_per_second: Annotated[int, Meta(ge=0)] = 8 << 20
+    states_every: Annotated[int, Meta(ge=100)] = 20_000  # records between two states to seek by
 
 
 class Node(_Strict, frozen=True):
