Cases cut from captures: six faults met once, told apart from their fixes; redaction

Change: capture cut makes the smallest possible history on which two revisions differ (delta debugging), cases runs a folder of them, redact and export; hash_key in the settings. Six cases from live nodes run with the module as it was before each fix.

--- a/stonetrack/capture/codec.py
+++ b/stonetrack/capture/codec.py
@@ -134,12 +134,14 @@
 _unpack = msgspec.msgpack.Decoder().decode
 
 
-def _out(thing: Thing) -> list[Any]:
+def plain(thing: Thing) -> list[Any]:
+    """An event or action as an array of its name and fields."""
     name = type(thing).__name__
     return [name, *_CODECS[name][0](thing)]
 
 
-def _back(values: Any) -> Thing:
+def unplain(values: Any) -> Thing:
+    """The event or action of :func:`plain`.  Raises CaptureError."""
     if not isinstance(values, list) or not values or values[0] not in _CODECS:
         raise CaptureError(f"an event or action of no known kind: {str(values)[:60]!r}")
     return _CODECS[values[0]][1](values[1:])
@@ -147,7 +149,7 @@
 
 def encode_call(at: int, event: api.Event, actions: typing.Sequence[api.Action]) -> bytes:
     """One call's record."""
-    return _pack([EVENT, at, _out(event), [_out(action) for action in actions]])
+    return _pack([EVENT, at, plain(event), [plain(action) for action in actions]])
 
 
 def encode(record: Record) -> bytes:
@@ -170,7 +172,7 @@
         kind = raw[0]
         if kind == EVENT:
             _, at, event, actions = raw
-            return Call(at, _back(event), tuple(_back(action) for action in actions))
+            return Call(at, unplain(event), tuple(unplain(action) for action in actions))
         if kind == GAP:
             return Gap(raw[1], raw[2])
         if kind == STATE:
--- a/stonetrack/cli/keeping.py
+++ b/stonetrack/cli/keeping.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import os
+import sys
 import time
 from pathlib import Path
 
 import click
+import msgspec
 
 from stonetrack.capture.codec import CaptureError
 from stonetrack.capture.store import Store
@@ -71,3 +73,126 @@
         tender.stop()
     for line in said:
         click.echo(line)
+
+
+@click.command("cut")
+@click.argument("folder", type=FOLDER)
+@click.option("--router", default="", help="Which router's, where the folder holds several.")
+@click.option("--then", "old_name", required=True, help="The revision with the fault.")
+@click.option("--now", "new_name", default="now", show_default=True, help="The revision without.")
+@click.option("--title", required=True, help="What went wrong, in a line.")
+@click.option("--found", default="", help="Where the failure was met.")
+@click.option("--out", type=click.Path(dir_okay=False, path_type=Path), required=True, help="A .case file.")
+def cut(folder: Path, router: str, old_name: str, new_name: str, title: str, found: str, out: Path) -> None:
+    """Make a small case of the first decision on which two revisions differ."""
+    from stonetrack.capture import case, history, revision
+
+    rooms = segments(folder)
+    if router not in rooms and (router or len(rooms) > 1):
+        raise Refusal(f"{folder}: --router {router!r}; allowed: {', '.join(rooms)}")
+    name = router or next(iter(rooms))
+    try:
+        old, new = revision.load(old_name), revision.load(new_name)
+        header, events = case.history_of(history.read(rooms[name], []))
+        made = case.cut(header, events, old, new, title=title, fixed_by=new.name, found=found,
+                        tell=lambda text: click.echo(text, err=True))  # fmt: skip
+    except CaptureError as error:
+        raise Refusal(str(error)) from None
+    out.write_bytes(case.encode(made))
+    if folder.is_dir():
+        with _store(folder) as store:
+            store.put_case(out.name, {"title": title, "fixed_by": new.name, "events": len(made.events)})
+    click.echo(f"{out}: {len(made.events)} of {len(events)} events, about {made.request}")
+
+
+@click.command("cases")
+@click.argument("folder", type=FOLDER)
+@click.option("--at", "revision_name", default="now", show_default=True, help="The revision that runs them.")
+def cases(folder: Path, revision_name: str) -> None:
+    """Run a folder of cases (or one); exit code 1 where a fault is back."""
+    from stonetrack.capture import case, revision
+
+    files = sorted(folder.glob("*.case")) if folder.is_dir() else [folder]
+    if not files:
+        raise Refusal(f"{folder}: no cases (*.case) here")
+    worst = 0
+    for path in files:
+        try:
+            made, module = case.decode(path.read_bytes()), revision.load(revision_name)
+        except CaptureError as error:
+            raise Refusal(f"{path.name}: {error}") from None
+        ran = case.run(made, module.make)
+        worst = max(worst, int(ran.verdict != "fixed"))
+        click.echo(f"{path.name}: {ran.verdict} ({made.title}; mended by {made.fixed_by})")
+        if ran.verdict != "fixed":
+            for label, actions in (("then", made.then), ("now", made.now), (module.name, ran.last)):
+                click.echo(f"  {label + ':':<10} {'; '.join(map(str, actions)) or 'nothing'}")
+    sys.exit(worst)
+
+
+@click.command("export")
+@click.argument("folder", type=FOLDER)
+@click.option("--since", type=int, help="From this time on (nanoseconds).")
+@click.option("--until", type=int, help="Up to this time.")
+@click.option("--request", default="", help="Only calls about this request.")
+def export(folder: Path, since: int | None, until: int | None, request: str) -> None:
+    """Print records as lines of JSON."""
+    from stonetrack.capture import redact, seek
+    from stonetrack.capture.history import Reading
+    from stonetrack.capture.index import requests_of
+
+    for name, files in segments(folder).items():
+        reading = Reading(files)
+        for number, record in seek.about(folder, reading, request) if request else reading.records():
+            at = getattr(record, "at", 0)
+            if (since is not None and at < since) or (until is not None and at > until):
+                continue
+            if not request or request in requests_of(record):
+                line = redact.text(number, record)
+                click.echo(b'{"router":' + msgspec.json.encode(name) + b"," + line[1:])
+        for text in reading.damage:
+            click.echo(f"damage: {text}", err=True)
+
+
+@click.command("redact")
+@click.argument("folder", type=FOLDER)
+@click.argument("out", type=click.Path(file_okay=False, path_type=Path))
+@click.option("--key", default="", help="Of the hashes; a fresh one by default, which nobody can then guess names by.")
+@click.option("--rename", is_flag=True, help="New names for sessions, beginnings, requests and engines too.")
+def redact_folder(folder: Path, out: Path, key: str, rename: bool) -> None:
+    """Write captures without names into the folder OUT, which must be empty or not there yet.
+
+    Without --rename decisions stay as they are and a replay proves it; with it they are made anew, and it is said
+    how many differ.
+    """
+    from stonetrack.capture import redact, replay, segment
+    from stonetrack.capture.codec import Record, encode
+    from stonetrack.capture.history import Reading, read
+    from stonetrack.capture.journal import SUFFIX
+
+    if out.exists() and any(out.iterdir()):
+        raise Refusal(f"{out}: not empty; allowed: an empty folder, or one that is not there yet")
+    out.mkdir(parents=True, exist_ok=True)
+    secret = key.encode() or os.urandom(32)
+    for index, files in enumerate(segments(folder).values()):
+        reading, counts = Reading(files), redact.Renamed()
+        records = (record for _, record in reading)
+        changed = redact.rename(records, secret, counts) if rename else redact.redact(records, secret)
+        path = out / f"redacted.{index}-{0:020d}{SUFFIX}"
+        batch: list[Record] = []
+        number = 0
+        with path.open("wb") as file:
+            file.write(segment.MAGIC)
+            for record in changed:
+                batch.append(record)
+                if len(batch) == 2_000:
+                    file.write(segment.pack(map(encode, batch), number))
+                    number, batch = number + len(batch), []
+            file.write(segment.pack(map(encode, batch), number))
+        result = replay.replay(read([path], []))
+        if not result.same:
+            path.unlink()
+            raise Refusal(f"{files[0].name}: it is decided otherwise by this module already; replay it first")
+        said = f", {counts.otherwise} of {counts.calls} decided otherwise under their new names" if rename else ""
+        left = f", {counts.left_out} records left out" if counts.left_out else ""
+        click.echo(f"{path.name}: {result.calls} calls replay the same{said}{left}")
--- a/stonetrack/cli/main.py
+++ b/stonetrack/cli/main.py
@@ -26,5 +26,13 @@
     capturing.replay,
 ):
     main.add_command(command)
-for command in (keeping.keep, keeping.note, keeping.tend):
+for command in (
+    keeping.keep,
+    keeping.note,
+    keeping.tend,
+    keeping.cut,
+    keeping.cases,
+    keeping.export,
+    keeping.redact_folder,
+):
     capturing.capture.add_command(command)
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -24,11 +24,13 @@
 from stonetrack.capture import snapshot
 from stonetrack.capture.codec import Header
 from stonetrack.capture.recorder import Recorder
+from stonetrack.capture.redact import settings_without_names
 from stonetrack.daemon import meters
 from stonetrack.engines.client import EngineClient
 from stonetrack.engines.listing import Engine, Listing
 from stonetrack.engines.sources import ListSource
 from stonetrack.fronts.app import App, refusal
+from stonetrack.fronts.classify import hash_key
 from stonetrack.fronts.host import Host
 from stonetrack.fronts.service import Record
 from stonetrack.logic import Router
@@ -89,7 +91,8 @@
         wanted = settings.capture
         if not wanted.dir:
             return None
-        header = Header(__version__, f"{name}.{clock()}", seed, router_settings(settings, index, instances))
+        told = settings_without_names(router_settings(settings, index, instances), hash_key(settings))
+        header = Header(__version__, f"{name}.{clock()}", seed, told)
         made = Recorder(
             Path(wanted.dir), header, clock, log=log, flush=wanted.flush_ms / 1_000.0, waiting=wanted.waiting,
             segment_bytes=wanted.segment_bytes, segment_seconds=wanted.segment_seconds,
--- a/stonetrack/fronts/chat.py
+++ b/stonetrack/fronts/chat.py
@@ -22,6 +22,7 @@
 from stonetrack.fronts.sinks import EventSink, HttpSink, WholeSink
 from stonetrack.node import ports
 from stonetrack.node.drive import Waker
+from stonetrack.settings.schema import Node
 from stonetrack.wire.http1 import Headers
 
 RESERVED = "kv_transfer_params"
@@ -144,6 +145,7 @@
     def __init__(self, service: Service, estimator: classify.Estimator | None = None) -> None:
         self.service = service
         self.estimator = estimator or classify.ByteEstimator()
+        self._keyed: tuple[Node, bytes] = (service.settings, classify.hash_key(service.settings))
 
     def tenant(self, headers: Headers) -> int:
         """The key's tenant.  Raises ApiError."""
@@ -173,7 +175,11 @@
     ) -> ports.Ask:
         """The node's view of a chat; ``body`` is what the engines are sent.  Raises ApiError."""
         settings, headers = self.service.settings, request.head.headers
-        shape = classify.shape(body["messages"], body.get("tools"), parsed.model, self.estimator)
+        of, hash_key = self._keyed
+        if of is not settings:
+            hash_key = classify.hash_key(settings)
+            self._keyed = settings, hash_key
+        shape = classify.shape(body["messages"], body.get("tools"), parsed.model, self.estimator, hash_key)
         class_index = classify.class_of(settings, parsed.model, headers, shape.prompt_tokens)
         try:
             left = classify.time_left(settings, class_index, headers, time.monotonic_ns() - request.arrived)
@@ -189,7 +195,7 @@
         return ports.Ask(
             request_id,
             class_index,
-            classify.session_of(names, tenant),
+            classify.session_of(names, tenant, hash_key),
             left,
             max(shape.prompt_tokens, 1),
             body,
--- a/stonetrack/fronts/classify.py
+++ b/stonetrack/fronts/classify.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
 import msgspec
-import xxhash
 
 from stonetrack.settings.schema import Node, Rule
 from stonetrack.wire.http1 import Headers
@@ -61,9 +61,18 @@
     return total
 
 
-def shape(messages: Sequence[dict[str, Any]], tools: object, model: str, estimator: Estimator) -> Shape:
-    """Length and shared beginning of a chat: the leading system and developer messages, and the tools."""
-    digest = xxhash.xxh3_128(model.encode("utf-8", "surrogatepass"))
+def hash_key(settings: Node) -> bytes:
+    """The key of hashes: the settings' own, or one made of models and tenants' key hashes, so that all nodes with
+    the same settings agree on it."""
+    told = msgspec.json.encode([settings.hash_key, settings.models, [t.key_hashes for t in settings.tenants]])
+    return hashlib.blake2b(settings.hash_key.encode() or told, digest_size=32).digest()
+
+
+def shape(
+    messages: Sequence[dict[str, Any]], tools: object, model: str, estimator: Estimator, key: bytes = b""
+) -> Shape:
+    """Length and shared beginning of a chat (leading system and developer messages, and tools), as a keyed hash."""
+    digest = hashlib.blake2b(model.encode("utf-8", "surrogatepass"), key=key, digest_size=16)
     encode = msgspec.json.encode
     tool_text = encode(tools) if tools else b""
     shared = len(tool_text) // 4
@@ -103,11 +112,12 @@
     return not rule.max_prompt_tokens or prompt_tokens <= rule.max_prompt_tokens
 
 
-def session_of(names: Iterable[object], tenant: int) -> str:
-    """The session by the first name given, kept apart by tenant; hashed, so that no name leaves the front."""
+def session_of(names: Iterable[object], tenant: int, key: bytes = b"") -> str:
+    """The session by the first name given, kept apart by tenant; a keyed hash, so that no name leaves the front."""
     for name in names:
         if isinstance(name, str) and name:
-            return xxhash.xxh3_64_hexdigest(f"{tenant}/{name}".encode("utf-8", "surrogatepass"))
+            text = f"{tenant}/{name}".encode("utf-8", "surrogatepass")
+            return hashlib.blake2b(text, key=key, digest_size=8).hexdigest()
     return ""
 
 
--- a/stonetrack/settings/schema.py
+++ b/stonetrack/settings/schema.py
@@ -179,6 +179,7 @@
     listen: Listen = Listen()
     rules: tuple[Rule, ...] = ()
     tenants: tuple[Tenant, ...] = ()
+    hash_key: Annotated[str, Meta(max_length=1_000)] = ""  # of sessions and beginnings; the same on all nodes
     any_key: bool = False  # take requests with any key, or none, as the first tenant's
     routing: Routing = Routing()
     limits: Limits = Limits()
--- /dev/null
+++ b/tests/test_cases.py
@@ -0,0 +1,196 @@
+"""Cases: faults met once stay mended; and captures without names."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from stonetrack import api
+from stonetrack.capture import case, redact, revision, snapshot
+from stonetrack.capture.codec import Call, CaptureError, Header, Record, State
+from stonetrack.capture.history import read
+from stonetrack.capture.replay import replay
+from stonetrack.fronts.classify import ByteEstimator, hash_key, session_of, shape
+from stonetrack.logic import Router
+from stonetrack.settings import parse
+from tests.rig import Client, chat, raw_settings, rig
+from tests.test_capture import HEADER, calls, command, files, write
+from tests.test_replaying import API, LOGIC
+
+CASES = sorted((Path(__file__).parent / "cases").glob("*.case"))
+
+
+@pytest.mark.parametrize("path", CASES, ids=lambda p: p.stem)
+def test_a_fault_met_once_stays_mended(path: Path) -> None:
+    made = case.decode(path.read_bytes())
+    assert case.encode(made) == path.read_bytes()
+    assert made.then != made.now and made.fixed_by and made.title and made.found
+    assert case.possible(made.events, [*made.expected, made.then])
+    ran = case.run(made, Router)
+    assert ran.verdict == "fixed", f"{made.title}: {ran.last}"
+    assert case.run(made, Router) == ran
+
+
+def test_there_are_cases_of_five_different_fixes() -> None:
+    assert len({case.decode(path.read_bytes()).fixed_by for path in CASES}) >= 5
+
+
+def test_a_module_that_has_the_fault_again_is_caught_by_its_case() -> None:
+    """Each fix taken out of the module as it is now: its case says that the fault is back."""
+    taken_out = {
+        "moving-queue": ("if moves or not (again", "if not (again"),
+        "cold-unused": ("return [s for s in group if s.cold_until > self.now] or group", "return group"),
+        "late-answers": ("request.expected > bound and", "False and"),
+    }
+    for name, (line, without) in taken_out.items():
+        assert line in LOGIC
+        module = revision.from_texts(name, LOGIC.replace(line, without), API)
+        made = case.decode((Path(__file__).parent / "cases" / f"{name}.case").read_bytes())
+        assert case.run(made, module.make).verdict != "fixed", name
+        assert case.run(made, revision.from_texts("whole", LOGIC, API).make).verdict == "fixed"
+
+
+def test_a_case_is_cut_from_a_capture_to_what_is_needed(tmp_path: Path) -> None:
+    made = calls(500)
+    write(tmp_path, made)
+    folder = tmp_path / "module"
+    folder.mkdir()
+    (folder / "api.py").write_text(API)
+    weights = "WEIGHT_PREFIX, WEIGHT_LOAD, WEIGHT_MEMORY = 3.0, 2.0, 2.0"
+    assert weights in LOGIC
+    (folder / "logic.py").write_text(LOGIC.replace(weights, weights.replace("3.0, 2.0, 2.0", "0.0, 2.0, 2.0")))
+    out = tmp_path / "prefix.case"
+    done = command(
+        "capture", "cut", str(tmp_path), "--then", str(folder), "--title", "prefixes not used", "--out", str(out)
+    )
+    assert done.returncode == 0, done.stderr
+    cut = case.decode(out.read_bytes())
+    assert 3 <= len(cut.events) <= 20 and cut.title == "prefixes not used"
+    assert case.run(cut, Router).verdict == "fixed"
+    assert case.run(cut, revision.load(str(folder)).make).verdict == "broken again"
+    told = command("capture", "cases", str(tmp_path))
+    assert told.returncode == 0 and "prefix.case: fixed" in told.stdout
+    told = command("capture", "cases", str(out), "--at", str(folder))
+    assert told.returncode == 1 and "broken again" in told.stdout and "then:" in told.stdout
+    assert "case prefix.case" in command("capture", "ls", str(tmp_path)).stdout
+    alike = command("capture", "cut", str(tmp_path), "--then", "now", "--title", "none", "--out", str(out))
+    assert alike.returncode == 2 and "alike" in alike.stderr
+
+
+def test_taking_parts_out_keeps_what_is_needed_and_only_that() -> None:
+    tried: list[list[int]] = []
+
+    def holds(parts: list[int]) -> bool:
+        tried.append(parts)
+        return {3, 17, 18} <= set(parts)
+
+    assert case.smaller(list(range(40)), holds) == [3, 17, 18] and len(tried) < 200
+    assert case.smaller([1], lambda parts: True) == []
+
+
+def test_a_history_that_could_not_have_happened_is_told_from_one_that_could() -> None:
+    made = calls(200)
+    events = [(call.at, call.event) for call in made]
+    decided = [call.actions for call in made]
+    assert case.possible(events, decided)
+    ends = [n for n, (_, event) in enumerate(events) if isinstance(event, api.AttemptEnded)]
+    sent = [n for n, actions in enumerate(decided) if any(isinstance(a, api.Send) for a in actions)]
+    for gone in (sent[0], sent[3]):
+        shorter = [each for n, each in enumerate(events) if n != gone]
+        assert not case.possible(shorter, [each for n, each in enumerate(decided) if n != gone])
+    at, event = events[ends[0]]
+    assert isinstance(event, api.AttemptEnded)
+    for wrong in (replace(event, server="r9"), replace(event, attempt=7)):
+        assert not case.possible([*events[: ends[0]], (at, wrong)], decided[: ends[0] + 1])
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b"[1]\n[2]", b'{"format": 9}', b'{"format": 1}\n[1, ["Nothing"], []]'])
+def test_what_is_no_case_is_refused(data: bytes) -> None:
+    with pytest.raises(CaptureError):
+        case.decode(data)
+
+
+# Names.
+
+
+def test_without_names_a_capture_decides_as_before(tmp_path: Path) -> None:
+    made = calls(600)
+    header = Header("v", "i0.1", 1, replace(HEADER.settings, tenants=(api.Tenant("Suva Charging", 5.0),)))
+    router = Router(header.settings, 1)
+    records: list[Record] = [header]
+    for n, call in enumerate(made):
+        if n == 300:
+            records.append(State(call.at, "v", snapshot.take(router)))
+        records.append(Call(call.at, call.event, tuple(router.handle(call.at, call.event))))
+    changed = list(redact.redact(records, b"key"))
+    result = replay(changed)
+    assert result.same and result.calls == 600 and result.states == 1
+    text = b"".join(redact.text(n, record) for n, record in enumerate(changed)) + changed[301].data  # type: ignore[union-attr]
+    assert b"Suva" not in text and b"chat" not in text
+    assert list(redact.redact(records, b"other")) != changed
+
+
+def test_a_capture_that_leaves_the_house_holds_no_name_that_it_had(tmp_path: Path) -> None:
+    made = calls(600)
+    write(tmp_path / "in", made)
+    done = command("capture", "redact", str(tmp_path / "in"), str(tmp_path / "out"), "--rename", "--key", "secret")
+    assert done.returncode == 0 and "600 calls replay the same" in done.stdout, done.stderr
+    records = list(read(files(tmp_path / "out"), []))
+    assert replay(records).same
+    told = b"".join(redact.text(n, record) for n, record in enumerate(records))
+    for name in ("q12", "s3", "b1", "r0", "w3", "i0.1"):
+        assert f'"{name}"'.encode() not in told
+    again = command("capture", "redact", str(tmp_path / "in"), str(tmp_path / "out"))
+    assert again.returncode == 2 and "not empty" in again.stderr
+    plain = command("capture", "redact", str(tmp_path / "in"), str(tmp_path / "plain"))
+    assert plain.returncode == 0 and "600 calls replay the same" in plain.stdout
+
+
+def test_records_are_exported_as_lines_of_json(tmp_path: Path) -> None:
+    made = calls(300)
+    write(tmp_path, made)
+    done = command("capture", "export", str(tmp_path), "--since", str(made[100].at), "--until", str(made[200].at))
+    rows = [json.loads(line) for line in done.stdout.splitlines()]
+    assert [row["number"] for row in rows if row["at"] == made[150].at][-1] >= 151 and 95 < len(rows) < 110
+    assert {row["router"] for row in rows} == {"i0.1"} and rows[0]["event"]["type"]
+
+
+def test_sessions_and_beginnings_are_hashed_with_a_key_that_nodes_agree_on() -> None:
+    one = parse(json.dumps(raw_settings("http://127.0.0.1:1/")))
+    same = parse(json.dumps(raw_settings("http://127.0.0.1:2/")))
+    other = parse(json.dumps(raw_settings("http://127.0.0.1:1/", hash_key="secret")))
+    assert hash_key(one) == hash_key(same) != hash_key(other) and len(hash_key(one)) == 32
+    names = [session_of(("bob",), 0, hash_key(each)) for each in (one, same, other)]
+    assert names[0] == names[1] != names[2]
+    messages = [{"role": "system", "content": "You are brief."}, {"role": "user", "content": "Hi"}]
+    begun = [shape(messages, None, "m", ByteEstimator(), hash_key(each)).shared_beginning for each in (one, other)]
+    assert begun[0] != begun[1] and None not in begun
+
+
+def test_a_live_capture_holds_no_text_no_session_and_no_tenants_name(tmp_path: Path) -> None:
+    settings = {"capture": {"dir": str(tmp_path), "flush_ms": 10}, "tenants": [{"name": "Suva Charging"}]}
+    with rig(1, 1, settings=settings) as node:
+        client = Client(node.port)
+        body = chat("Where is the charger in Nadi?", prompt_cache_key="driver-77", max_tokens=3)
+        body["messages"].insert(0, {"role": "system", "content": "You know Fiji."})
+        client.call(body)
+        client.close()
+    raw = b"".join(msgspec.msgpack.encode(redact.text(n, r)) for n, r in enumerate(read(files(tmp_path), [])))
+    assert b"RequestArrived" in raw
+    for secret in (b"Nadi", b"driver-77", b"Fiji", b"Suva"):
+        assert secret not in raw
+
+
+@pytest.mark.parametrize("path", CASES, ids=lambda p: p.stem)
+def test_the_revision_before_each_fix_has_the_fault(path: Path) -> None:
+    made = case.decode(path.read_bytes())
+    try:
+        old, new = (revision.load(name) for name in (f"{made.fixed_by}^", made.fixed_by))
+    except CaptureError:
+        pytest.skip("a checkout without the project's history")
+    assert case.run(made, old.make) == case.Ran(None, made.then, "broken again")
+    assert case.run(made, new.make) == case.Ran(None, made.now, "fixed")
