--- a/benchmarks/capture.py
+++ b/benchmarks/capture.py
@@ -17,7 +17,9 @@
 from stonetrack.capture import codec, segment
 from stonetrack.capture.codec import Header
 from stonetrack.capture.history import read
+from stonetrack.capture.parallel import replay_folder
 from stonetrack.capture.replay import replay
+from stonetrack.capture.tend import Tender
 from stonetrack.day.page import percentile
 from stonetrack.logic import Router
 
@@ -109,10 +111,19 @@
         start = time.perf_counter()
         result = replay(read([path], []))
         took = time.perf_counter() - start
+        tender = Tender(Path(temporary), budget_bytes=1 << 40, log=print, states_every=2_000)
+        tender.once()
+        tender.stop()
+        start = time.perf_counter()
+        outcomes = replay_folder(Path(temporary), 8)
+        parallel = time.perf_counter() - start
+        assert sum(outcome.calls for outcome in outcomes) == result.calls
+        assert all(outcome.difference is None for outcome in outcomes)
     assert damage is None and result.same
     print(
         f"{total} calls at {servers} servers: {size / total:.1f} bytes a call; opened and checked in {opened:.2f} s; "
-        f"replayed in {took:.1f} s, {(now / 1e9) / took:.0f} times its own time at 40 requests a second (made in {made:.1f} s)"
+        f"replayed in {took:.1f} s, {(now / 1e9) / took:.0f} times its own time at 40 requests a second (made in {made:.1f} s);"
+        f" by 8 processes from its states {parallel:.1f} s, {(now / 1e9) / parallel:.0f} times"
     )
 
 
--- a/stonetrack/capture/replay.py
+++ b/stonetrack/capture/replay.py
@@ -35,6 +35,7 @@
     missing: int = 0  # calls that the capture itself says it lacks
     difference: Difference | None = None
     damage: list[str] = field(default_factory=list)
+    router: Any = None  # as it was left; None after a gap
 
     @property
     def same(self) -> bool:
@@ -65,14 +66,14 @@
     router: Any = None
     for number, record in records:
         if isinstance(record, Header):
-            router = make(record.settings, record.seed)
+            router = result.router = make(record.settings, record.seed)
             result.routers += 1
         elif isinstance(record, State):
-            router = restore(record.data, restore_class)
+            router = result.router = restore(record.data, restore_class)
             result.states += 1
         elif isinstance(record, Gap):
             result.missing += record.count
-            router = None
+            router = result.router = None
         elif router is None:
             result.skipped += 1
         else:
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
@@ -9,7 +10,7 @@
 
 import click
 
-from stonetrack.capture import compare, explain, history, revision, seek
+from stonetrack.capture import compare, explain, history, parallel, revision, seek
 from stonetrack.capture import replay as again
 from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
 from stonetrack.capture.history import Reading
@@ -177,12 +178,17 @@
 @click.option("--until", type=int, help="Stop after this time (nanoseconds, as show prints them).")
 @click.option("--since", type=int, help="Begin at the last snapshot before this time.")
 @click.option("--request", default="", help="Compare only the calls about this request.")
+@click.option("--jobs", type=click.IntRange(1, 256), default=1, help="So many processes, cut at the stored states.")
 @click.option("--against", default="", help="Compare with the module of this revision, decision by decision.")
-def replay(folder: Path, until: int | None, since: int | None, request: str, against: str) -> None:
+def replay(folder: Path, until: int | None, since: int | None, request: str, jobs: int, against: str) -> None:
     """Feed captures to the module again; exit code 1 where it decides otherwise.
 
     With --against, both revisions are told the same and a table shows the decisions that differ, by cause.
     """
+    if jobs > 1:
+        if until is not None or since is not None or request or against:
+            raise Refusal("--jobs replays all there is; allowed with it: no --until, --since, --request or --against")
+        sys.exit(_parallel(folder, jobs))
     differs = 0
     for name, files in segments(folder).items():
         reading = Reading(files)
@@ -195,6 +201,27 @@
     sys.exit(1 if differs else 0)
 
 
+def _parallel(folder: Path, jobs: int) -> int:
+    def tell(done: int, of: int) -> None:
+        if os.isatty(2):
+            click.echo(f"\r{done} of {of} pieces", nl=False, err=True)
+
+    try:
+        outcomes = parallel.replay_folder(folder, jobs, tell)
+    except CaptureError as error:
+        raise Refusal(str(error)) from None
+    differs = 0
+    for name in segments(folder):
+        mine = [outcome for outcome in outcomes if outcome.piece.router == name]
+        calls, skipped, missing = (sum(getattr(o, what) for o in mine) for what in ("calls", "skipped", "missing"))
+        click.echo(f"{name}: {calls} calls replayed in {len(mine)} pieces, {skipped} skipped, {missing} missing")
+        say(sorted({text for outcome in mine for text in outcome.damage}))
+        if wrong := [o.difference for o in mine if o.difference is not None]:
+            differs += 1
+            click.echo(f"  first difference: record {min(wrong)}; replay without --jobs shows the scores behind it")
+    return int(differs > 0)
+
+
 def _again(name: str, begin: Callable[[], Numbered], until: int | None, request: str) -> int:
     result = again.run(begin(), until=until, request=request)
     click.echo(f"{name}: {result.calls} calls replayed, {result.skipped} skipped, {result.missing} missing")
--- a/tests/test_replaying.py
+++ b/tests/test_replaying.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
+import time
 import types
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -12,6 +14,7 @@
 from stonetrack.capture import compare, explain, history, index, revision, seek, snapshot
 from stonetrack.capture.codec import Call, CaptureError, Gap, Header, Record, State
 from stonetrack.capture.history import Reading
+from stonetrack.capture.recorder import Recorder
 from stonetrack.capture.replay import replay, run
 from stonetrack.capture.store import Saved, Store
 from stonetrack.logic import Router
@@ -252,3 +255,88 @@
     told = command("replay", str(tmp_path))
     assert told.returncode == 1 and f"call {n + 1} at" in told.stdout and "r9" in told.stdout
     assert f"> {send.server}" in told.stdout
+
+
+def test_odd_clocks_and_late_news_replay_the_same(tmp_path: Path) -> None:
+    """A clock that stands, steps back, jumps; timers at one nanosecond; late reports; lists amid."""
+    draw = random.Random(3)
+    plain = calls(900)
+    router = Router(HEADER.settings, 1)
+    made: list[Call] = []
+    shift = 0
+
+    def tell(at: int, event: api.Event) -> None:
+        made.append(Call(at, event, tuple(router.handle(at, event))))
+
+    full = next(call.event for call in plain if isinstance(call.event, api.ServerList))
+    for call in plain:
+        shift += draw.choice([0, 0, 0, -300_000_000, 5_000_000_000, -5_000_000_000])
+        at = max(1, call.at + shift)
+        tell(at, call.event)
+        if draw.random() < 0.2:
+            tell(at, api.TimerFired(0))
+            tell(at, api.TimerFired(0))
+        if isinstance(call.event, api.AttemptEnded) and draw.random() < 0.4:
+            gone = draw.randrange(len(full.entries))
+            entries = (replace(full.entries[gone], state=draw.choice(list(api.ServerState))),)
+            tell(at, api.ServerList(api.ListKind.CHANGES, 2, entries))
+            tell(at - 1, replace(call.event, report=api.LoadReport(draw.random() * 9, 1.0, draw.random(), 50.0)))
+            tell(at, replace(full, kind=api.ListKind.FULL))
+    write(tmp_path, made, block=40, segment_bytes=6_000)
+    reading = Reading(files(tmp_path))
+    records = list(reading)
+    assert not reading.damage and [r for _, r in records] == [HEADER, *made]
+    assert run(records).same and replay([HEADER, *made]).same
+    half = Router(HEADER.settings, 1)
+    for call in made[:500]:
+        half.handle(call.at, call.event)
+    again = run([(500, State(1, "v", snapshot.take(half))), *enumerate(made[500:], 501)])
+    assert again.same and again.calls == len(made) - 500
+
+
+def test_no_file_however_mangled_stops_the_reader(tmp_path: Path) -> None:
+    write(tmp_path, calls(120), block=15)
+    (path,) = files(tmp_path)
+    corpus = [path.read_bytes()]
+    draw = random.Random(11)
+    told = 0
+    for _ in range(400):
+        data = bytearray(draw.choice(corpus))
+        for _ in range(draw.randrange(1, 5)):
+            at = draw.randrange(len(data) + 1)
+            match draw.randrange(4):
+                case 0:
+                    data[at:at] = draw.randbytes(draw.randrange(1, 40))
+                case 1:
+                    del data[at : at + draw.randrange(1, 200)]
+                case 2 if at < len(data):
+                    data[at] ^= 1 << draw.randrange(8)
+                case _:
+                    data[at:] = data[: draw.randrange(1, 300)]
+        if len(corpus) < 40:
+            corpus.append(bytes(data))
+        path.write_bytes(data)
+        reading = Reading([path])
+        records = list(reading)
+        told += bool(reading.damage)
+        result = run(records)
+        assert result.same or reading.damage
+        assert all(text.startswith(f"{path.name}: ") for text in reading.damage)
+    assert told > 300
+
+
+def test_two_routers_in_one_folder_never_mix(tmp_path: Path) -> None:
+    one, two = calls(300), calls(280)
+    write(tmp_path, one, block=30, segment_bytes=2_000)
+    other = Recorder(
+        tmp_path, replace(HEADER, instance="i1.1"), time.time_ns, log=lambda text: None, segment_bytes=3_000
+    )
+    other.start()
+    for call in two:
+        other.note(call.at, call.event, call.actions)
+    other.stop()
+    rooms = history.routers(tmp_path)
+    assert set(rooms) == {"i0.1", "i1.1"}
+    for name, made in (("i0.1", one), ("i1.1", two)):
+        assert [r for _, r in Reading(rooms[name])][1:] == made
+        assert run(Reading(rooms[name])).same
--- a/tests/test_tending.py
+++ b/tests/test_tending.py
@@ -6,6 +6,7 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -52,6 +53,22 @@
     assert tended(tmp_path, states_every=500) == []  # nothing is left to do
 
 
+def test_a_replay_in_pieces_says_what_a_whole_one_does(tmp_path: Path) -> None:
+    made = calls(2_000)
+    write(tmp_path, made, segment_bytes=8_000, block=50)
+    without = command("replay", str(tmp_path), "--jobs", "3")
+    assert without.returncode == 2 and "no states" in without.stderr
+    tended(tmp_path, states_every=250)
+    done = command("replay", str(tmp_path), "--jobs", "3")
+    assert done.returncode == 0 and "2000 calls replayed in 9 pieces, 0 skipped, 0 missing" in done.stdout, done.stderr
+    with Store(tmp_path) as store:  # a state that is not what the calls before it lead to
+        wrong, right = list(store.states("i0.1"))[2:4]
+        store.put_state(replace(wrong, number=right.number, at=right.at))
+    done = command("replay", str(tmp_path), "--jobs", "3")
+    assert done.returncode == 1 and f"first difference: record {right.number}" in done.stdout
+    assert command("replay", str(tmp_path), "--jobs", "3", "--since", "1").returncode == 2
+
+
 def test_a_decision_that_differs_is_found_by_tending_and_noted(tmp_path: Path) -> None:
     made = calls(600)
     n = next(i for i, c in enumerate(made) if i > 300 and c.actions)
