--- a/stonetrack/capture/compare.py
+++ b/stonetrack/capture/compare.py
@@ -191,9 +191,10 @@
         )
     if not compared.causes:
         return
-    yield f"  {'calls':>6}  {'cause (' + names[0] + ' -> ' + names[1] + ')':<58}first"
+    yield f"  {'calls':>6}  {'cause (' + names[0] + ' -> ' + names[1] + ')':<80}first"
     for cause, count in compared.causes.most_common(most):
         first = next(c for c in compared.changes if c.cause == cause)
-        yield f"  {count:>6}  {cause:<58}call {first.number} {first.request}"
+        shown = cause if len(cause) <= 78 else cause[:77] + "…"
+        yield f"  {count:>6}  {shown:<80}call {first.number} {first.request}"
     if len(compared.causes) > most:
         yield f"  {sum(c for _, c in compared.causes.most_common()[most:]):>6}  other causes"
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,6 +18,7 @@
     "engines": {"node", "wire", "settings"},
     "fronts": {"node", "wire", "settings"},
     "background": set(),
+    "manage": set(),
     "capture": {"logic", "background"},
     "daemon": {"background", "capture", "fronts", "engines", "node", "wire", "settings", "logic"},
     "standin": {"engines", "wire"},
@@ -31,7 +32,8 @@
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
     "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
-    "capture/journal.py", "background/wheel.py", "background/plan.py", "logic.py", "api.py",
+    "capture/journal.py", "manage/framing.py", "manage/datastore.py",
+    "background/wheel.py", "background/plan.py", "logic.py", "api.py",
 ]  # fmt: skip
 BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
 # A helper of the standard library that opens nothing: reading a query string.
