--- a/benchmarks/background.py
+++ b/benchmarks/background.py
@@ -3,7 +3,7 @@
 A day of a timer here: added, and nine times in ten cancelled before it is due.  ``heapq`` marks what is cancelled and
 passes it over when it comes up; ``sched`` takes it out.
 
-    .venv/bin/python -m benchmarks.background
+    .venv/bin/python -m benchmarks.background [PLOT.svg]
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 import heapq
 import random
 import sched
+import sys
 import time
 from collections.abc import Callable
 
@@ -74,8 +75,10 @@
 def main() -> None:
     """Measure and print."""
     ways: dict[str, Callable[[list[int], list[bool], int], float]] = {"wheel": wheel, "heapq": heap, "sched": plain}
+    rows: dict[str, list[float]] = {name: [] for name in ways}
+    sizes = (1, 1_000, 100_000)
     print(f"{'timers':>8}" + "".join(f"{name + ' ns':>12}" for name in ways) + "   heapq/wheel  sched/wheel")
-    for standing in (1, 1_000, 100_000):
+    for standing in sizes:
         draw = random.Random(standing)
         dues = [draw.randrange(1, 4_000) * MS for _ in range(standing + OPERATIONS)]
         cancel = [draw.random() < 0.9 for _ in dues]
@@ -84,8 +87,33 @@
             for name, way in ways.items():
                 took[name].append(way(dues, cancel, standing) / OPERATIONS * 1e9)
         best = {name: sorted(values)[1] for name, values in took.items()}
+        for name, value in best.items():
+            rows[name].append(value)
         row = "".join(f"{best[name]:>12.0f}" for name in ways)
         print(f"{standing:>8}{row}{best['heapq'] / best['wheel']:>14.2f}{best['sched'] / best['wheel']:>13.2f}")
+    if len(sys.argv) > 1:
+        plot(sys.argv[1], sizes, rows)
+
+
+def plot(path: str, sizes: tuple[int, ...], rows: dict[str, list[float]]) -> None:
+    """Time an operation over standing timers."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(figsize=(6.4, 3.2), layout="constrained")
+    for (name, values), colour in zip(rows.items(), ("#1f6f8b", "#c0562f", "#7a7a7a"), strict=True):
+        axes.loglog(sizes, values, marker="o", color=colour, label=name)
+        axes.annotate(
+            name, (sizes[-1], values[-1]), xytext=(6, 0), textcoords="offset points", va="center", color=colour
+        )
+    axes.set_xlabel("timers standing")
+    axes.set_ylabel("ns an operation")
+    axes.set_xlim(0.7, 600_000)
+    axes.grid(True, which="major", alpha=0.3)
+    axes.spines[["top", "right"]].set_visible(False)
+    figure.savefig(path)
 
 
 if __name__ == "__main__":
