--- a/benchmarks/background.py
+++ b/benchmarks/background.py
@@ -105,12 +105,11 @@
     figure, axes = plt.subplots(figsize=(6.4, 3.2), layout="constrained")
     for (name, values), colour in zip(rows.items(), ("#1f6f8b", "#c0562f", "#7a7a7a"), strict=True):
         axes.loglog(sizes, values, marker="o", color=colour, label=name)
-        axes.annotate(
-            name, (sizes[-1], values[-1]), xytext=(6, 0), textcoords="offset points", va="center", color=colour
-        )
     axes.set_xlabel("timers standing")
     axes.set_ylabel("ns an operation")
-    axes.set_xlim(0.7, 600_000)
+    axes.set_xticks(sizes, [f"{size:,}" for size in sizes])
+    axes.minorticks_off()
+    axes.legend(frameon=False)
     axes.grid(True, which="major", alpha=0.3)
     axes.spines[["top", "right"]].set_visible(False)
     figure.savefig(path)
