The YANG model of the configuration, written from the settings' types

Need: management needs one model that both protocols share, and settings and model must not drift apart.

Change: stonetrack/manage/yang.py writes the module's configuration half (RFC 7950) and maps settings to instances and back (RFC 7951); model.py validates with yangson, then with the settings' own checks; the state half is a first draft that nothing fills yet.

--- /dev/null
+++ b/stonetrack/manage/model.py
@@ -0,0 +1,53 @@
+"""An instance against the YANG model: whole, by yangson, with the errors' tags and paths of RFC 6241.  No I/O but
+reading the module's file once.
+
+Two gates, in this order: the model (types, ranges, keys, ``must``), then the settings' own checks, which know what
+names refer to.  Both name path and what is allowed; the first thing wrong is told.
+"""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from yangson import DataModel
+from yangson.enumerations import ContentType
+from yangson.exceptions import NonexistentInstance, RawDataError, ValidationError, YangsonException
+
+from stonetrack.manage import yang
+from stonetrack.manage.datastore import Refused, Tag
+from stonetrack.settings import Node, SettingsError, parse
+
+MODULES = Path(__file__).parent / "modules"
+_LIBRARY = {
+    "ietf-yang-library:modules-state": {
+        "module-set-id": yang.REVISION,
+        "module": [{"name": yang.MODULE, "revision": yang.REVISION, "namespace": yang.NAMESPACE,
+                    "conformance-type": "implement"}],
+    }
+}  # fmt: skip
+
+
+class Model:
+    """The data model, read once."""
+
+    def __init__(self) -> None:
+        self._data = DataModel(json.dumps(_LIBRARY), [str(MODULES)])
+
+    def settings(self, instance: Any) -> Node:
+        """The settings of a configuration as JSON by RFC 7951.  Raises Refused."""
+        try:
+            made = self._data.from_raw(instance)
+            made.validate(ctype=ContentType.config)
+        except RawDataError as error:
+            raise Refused(Tag.INVALID_VALUE, str(getattr(error, "path", "")), str(error)) from None
+        except (ValidationError, NonexistentInstance) as error:
+            path = getattr(getattr(error, "instance", None), "json_pointer", lambda: "")()
+            raise Refused(Tag.OPERATION_FAILED, str(path), str(error)) from None
+        except (YangsonException, ValueError, TypeError, AttributeError, KeyError) as error:
+            raise Refused(Tag.INVALID_VALUE, "", f"{type(error).__name__}: {error}") from None
+        try:
+            return parse(json.dumps(yang.from_instance(instance)), "configuration")
+        except (SettingsError, ValueError, TypeError, KeyError) as error:
+            raise Refused(Tag.INVALID_VALUE, "", str(error)) from None
--- /dev/null
+++ b/stonetrack/manage/yang.py
@@ -0,0 +1,255 @@
+"""The YANG model of the configuration, written from the settings' types, so that the two are one truth.
+
+The problem: settings are msgspec types with bounds; a YANG module written by hand beside them would drift apart at the
+first field.  So the module's configuration half is a function of the types (RFC 7950 statements, RFC 7951 names),
+and a test holds the file in ``modules/`` to it.  What no type can say (names that must be known, values that must
+fit each other) stands here as ``must`` where XPath can say it; all the rest is refused by the settings' own checks,
+which every change passes too.
+
+Mapping: a struct is a container, a tuple of structs a list by ``name`` (ordered by the user; where there is no name, by
+``position``), a tuple of strings a leaf-list; ``a_field`` is the leaf ``a-field``; floats are decimal64 with six
+digits, as strings in JSON (RFC 7951, 6.1), 64-bit numbers as strings too.
+
+Cost: proportional to the settings; nothing here is on a request's way.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+from enum import Enum
+from typing import Any
+
+import msgspec
+from msgspec import inspect
+
+from stonetrack.settings.schema import Node
+
+NAMESPACE = "urn:stonetrack:router"
+MODULE, PREFIX, REVISION = "stonetrack", "st", "2026-12-01"
+ROOT = "router"
+DIGITS = 6  # after the point
+# Enumerations' and patterns' own words are the types'; these need a word of YANG's.
+MUST = {
+    "class": ("deadline-ms >= first-token-ms", "a deadline before the first token's aim"),
+    "rule": (
+        "max-prompt-tokens = 0 or max-prompt-tokens >= min-prompt-tokens",
+        "a prompt's bounds are the wrong way round",
+    ),
+    "source": ("(file != '') != (url != '')", "either file or url"),
+}
+SINGULAR = {"models": "model", "classes": "class", "kinds": "kind", "rules": "rule", "tenants": "tenant",
+            "key_hashes": "key-hash"}  # fmt: skip
+PATTERNED = {
+    r"^sha256:[0-9a-f]{64}$": "sha256:[0-9a-f]{64}",
+    "^(debug|info|warning|error)$": "debug|info|warning|error",
+}
+
+
+def leaf_name(field: str) -> str:
+    """The node's name for a field."""
+    return SINGULAR.get(field, field).replace("_", "-")
+
+
+def _range(low: Any, high: Any, least: str, most: str) -> str:
+    return f"{low if low is not None else least}..{high if high is not None else most}"
+
+
+def _type(kind: Any) -> list[str]:
+    """The ``type`` statement of a plain value, as lines."""
+    match kind:
+        case inspect.BoolType():
+            return ["type boolean;"]
+        case inspect.IntType(ge=low, le=high):
+            wide = high is None or high > 2**32 - 1
+            name = "uint64" if wide else "uint32"
+            bound = _range(low, high, "0", "max")
+            return [f"type {name};"] if (low, high) == (0, None) else [f'type {name} {{ range "{bound}"; }}']
+        case inspect.FloatType():
+            least = f"{10**-DIGITS:.{DIGITS}f}" if kind.gt is not None else f"{float(kind.ge or 0.0)}"
+            most = "max" if kind.le is None else f"{float(kind.le)}"
+            return [f'type decimal64 {{ fraction-digits {DIGITS}; range "{least}..{most}"; }}']
+        case inspect.StrType(min_length=low, max_length=high, pattern=pattern):
+            inner = []
+            if low is not None or high is not None:
+                inner.append(f'length "{_range(low, high, "0", "max")}";')
+            if pattern in PATTERNED:
+                inner.append(f'pattern "{PATTERNED[pattern]}";')
+            return [f"type string {{ {' '.join(inner)} }}"] if inner else ["type string;"]
+        case inspect.EnumType(cls=cls):
+            return ["type enumeration {", *(f'  enum "{each.value}";' for each in cls), "}"]
+    raise TypeError(f"no YANG type for {kind}")
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    if isinstance(value, Enum):
+        return str(value.value)
+    return str(value)
+
+
+def _doc(cls: type) -> str:
+    first = (cls.__doc__ or cls.__name__).strip().split("\n\n")[0]
+    return " ".join(first.split()).replace('"', "'")
+
+
+def _indent(lines: Iterator[str] | list[str]) -> list[str]:
+    return [f"  {line}" for line in lines]
+
+
+def _field(field: inspect.Field) -> list[str]:
+    name, kind = leaf_name(field.encode_name), field.type
+    if isinstance(kind, inspect.Metadata):
+        kind = kind.type
+    if isinstance(kind, inspect.UnionType):  # a struct or nothing
+        kind = next(each for each in kind.types if isinstance(each, inspect.StructType))
+        return [f"container {name} {{", *_indent(_body(kind, name, ['presence "It is given.";'])), "}"]
+    if isinstance(kind, inspect.StructType):
+        return [f"container {name} {{", *_indent(_body(kind, name)), "}"]
+    if isinstance(kind, inspect.VarTupleType):
+        return _many(name, kind)
+    lines = _type(kind)
+    units = {"_ms": "milliseconds", "_seconds": "seconds", "_bytes": "bytes", "_tokens": "tokens"}
+    lines += [f'units "{unit}";' for end, unit in units.items() if field.encode_name.endswith(end)]
+    if field.required:
+        lines.append("mandatory true;")
+    elif field.default is not msgspec.NODEFAULT:
+        lines.append(f'default "{_text(field.default)}";')
+    return [f"leaf {name} {{", *_indent(lines), "}"]
+
+
+def _many(name: str, kind: inspect.VarTupleType) -> list[str]:
+    inner = kind.item_type
+    if not isinstance(inner, inspect.StructType):
+        return [f"leaf-list {name} {{", *_indent([*_type(inner), "ordered-by user;"]), "}"]
+    key = "name" if any(f.name == "name" for f in inner.fields) else "position"
+    lines = [f'key "{key}";', *([f"min-elements {kind.min_length};"] if kind.min_length else []), "ordered-by user;"]
+    after = []
+    if key == "position":
+        after = ["leaf position {", "  type uint32;", '  description "Rules are tried in this order.";', "}"]
+    return [f"list {name} {{", *_indent(_body(inner, name, lines, after)), "}"]
+
+
+def _body(kind: inspect.StructType, name: str, first: Sequence[str] = (), after: Sequence[str] = ()) -> list[str]:
+    """What stands in a container or list, in the canonical order of RFC 7950, section 14."""
+    lines = [*first, f'description "{_doc(kind.cls)}";', *after]
+    if name in MUST:
+        test, message = MUST[name]
+        lines.insert(0, f'must "{test}" {{ error-message "{message}"; }}')
+    keyed = any(f.name == "name" for f in kind.fields)
+    for field in kind.fields:
+        made = _field(field)
+        if keyed and field.name == "name":  # a key is mandatory by being one
+            made = [line for line in made if line.strip() != "mandatory true;"]
+        lines += made
+    return lines
+
+
+STATE = """\
+container state {
+  config false;
+  description "What the router does (the operational view).";
+  list engine {
+    key "name";
+    description "One engine as the list and the router see it.";
+    leaf name { type string; }
+    leaf address { type string; }
+    leaf kind { type string; }
+    leaf cell { type string; }
+    leaf zone { type string; }
+    leaf state { type enumeration { enum "up"; enum "draining"; enum "removed"; } }
+  }
+  list instance {
+    key "name";
+    description "One instance of the node.";
+    leaf name { type string; }
+    leaf version { type string; description "Of the program."; }
+    leaf configuration { type uint64; description "Number of the configuration that it acts on."; }
+    leaf requests { type uint32; description "Under way."; }
+    leaf uptime { type uint64; units "seconds"; }
+  }
+  leaf list-version { type uint64; description "Of the list of engines."; }
+}
+"""
+
+
+def module_text() -> str:
+    """The whole module."""
+    node = inspect.type_info(Node)
+    assert isinstance(node, inspect.StructType)
+    body = [
+        "yang-version 1.1;",
+        f'namespace "{NAMESPACE}";',
+        f'prefix "{PREFIX}";',
+        'organization "stonetrack maintainers";',
+        'contact "The project\'s issues.";',
+        'description "Configuration and state of a router for language-model serving.  The configuration is written '
+        "from the settings' types; do not edit it by hand.\";",
+        f'revision "{REVISION}" {{ description "First."; }}',
+        f"container {ROOT} {{",
+        *_indent(_body(node, ROOT)),
+        *_indent(STATE.splitlines()),
+        "}",
+    ]
+    return "\n".join([f"module {MODULE} {{", *_indent(body), "}"]) + "\n"
+
+
+# Instances.
+
+
+def _out(kind: Any, value: Any) -> Any:
+    if isinstance(kind, inspect.Metadata):
+        kind = kind.type
+    match kind:
+        case inspect.UnionType(types=types):
+            return _out(next(t for t in types if not isinstance(t, inspect.NoneType)), value)
+        case inspect.StructType(fields=fields):
+            shown = {}
+            for field in fields:
+                each = getattr(value, field.name)
+                if each is not None:
+                    shown[leaf_name(field.encode_name)] = _out(field.type, each)
+            return shown
+        case inspect.VarTupleType(item_type=inner):
+            rows = [_out(inner, each) for each in value]
+            named = not isinstance(inner, inspect.StructType) or any(f.name == "name" for f in inner.fields)
+            return rows if named else [{"position": n, **row} for n, row in enumerate(rows)]
+        case inspect.FloatType():
+            return f"{value:.{DIGITS}f}"
+        case inspect.IntType(le=high):
+            return str(value) if high is None or high > 2**32 - 1 else value
+        case inspect.EnumType():
+            return value.value
+    return value
+
+
+def _back(kind: Any, value: Any) -> Any:
+    if isinstance(kind, inspect.Metadata):
+        kind = kind.type
+    match kind:
+        case inspect.UnionType(types=types):
+            return _back(next(t for t in types if not isinstance(t, inspect.NoneType)), value)
+        case inspect.StructType(fields=fields):
+            by_name = {leaf_name(field.encode_name): field for field in fields}
+            unknown = set(value) - set(by_name) - {"position", "state"}
+            if unknown:
+                raise ValueError(f"found {', '.join(sorted(unknown))}; allowed: {', '.join(by_name)}")
+            return {by_name[n].encode_name: _back(by_name[n].type, v) for n, v in value.items() if n in by_name}
+        case inspect.VarTupleType(item_type=inner):
+            return [_back(inner, each) for each in value]
+        case inspect.FloatType():
+            return float(value)
+        case inspect.IntType():
+            return int(value)
+    return value
+
+
+def to_instance(settings: Node) -> dict[str, Any]:
+    """Settings as JSON by RFC 7951."""
+    return {f"{MODULE}:{ROOT}": _out(inspect.type_info(Node), settings)}
+
+
+def from_instance(data: dict[str, Any]) -> dict[str, Any]:
+    """The settings' JSON of an instance, as ``settings.parse`` takes it.  Raises ValueError for unknown names."""
+    found: dict[str, Any] = _back(inspect.type_info(Node), data[f"{MODULE}:{ROOT}"])
+    return found
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -18,7 +18,7 @@
     "engines": {"node", "wire", "settings"},
     "fronts": {"node", "wire", "settings"},
     "background": set(),
-    "manage": set(),
+    "manage": {"settings"},
     "capture": {"logic", "background"},
     "daemon": {"background", "capture", "fronts", "engines", "node", "wire", "settings", "logic"},
     "standin": {"engines", "wire"},
@@ -32,7 +32,7 @@
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
     "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
-    "capture/journal.py", "manage/framing.py", "manage/datastore.py",
+    "capture/journal.py", "manage/framing.py", "manage/datastore.py", "manage/yang.py", "manage/model.py",
     "background/wheel.py", "background/plan.py", "logic.py", "api.py",
 ]  # fmt: skip
 BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
