--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -114,9 +114,9 @@
                     tried += 1
             case msgspec.inspect.FloatType(ge=least, gt=above, le=most):
                 bads = [least - 0.5 if least is not None else above, most + 0.5 if most is not None else None]
-                for bad in [each for each in bads if each is not None]:
+                for value_off in [each for each in bads if each is not None]:
                     with pytest.raises(Refused):
-                        model.settings(put(instance, path, f"{float(bad):.6f}"))
+                        model.settings(put(instance, path, f"{float(value_off):.6f}"))
                     tried += 1
 
     walk(msgspec.inspect.type_info(Node), ("stonetrack:router",), instance["stonetrack:router"])
