Fold: Admission, which serves both fronts, stands in a file of its own

Cause: the KServe front took it from the chat front's file, whose imports it then had too. Behaviour is the same.

--- a/stonetrack/fronts/app.py
+++ b/stonetrack/fronts/app.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from stonetrack.fronts.chat import Admission, Chat
+from stonetrack.fronts.admission import Admission
+from stonetrack.fronts.chat import Chat
 from stonetrack.fronts.errors import ApiError
 from stonetrack.fronts.host import Connection, Request, plain
 from stonetrack.fronts.kserve import PREFIX, KServe
--- a/stonetrack/fronts/chat.py
+++ b/stonetrack/fronts/chat.py
@@ -7,23 +7,19 @@
 from __future__ import annotations
 
 import os
-import time
 from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
-from stonetrack.api import Effect
-from stonetrack.fronts import auth, classify, jsonguard
+from stonetrack.fronts import jsonguard
+from stonetrack.fronts.admission import Admission
 from stonetrack.fronts.answers import Chunks, Whole
 from stonetrack.fronts.errors import ApiError
 from stonetrack.fronts.host import Connection, Request, plain
-from stonetrack.fronts.service import Record, Service
 from stonetrack.fronts.sinks import EventSink, HttpSink, WholeSink
 from stonetrack.node import ports
 from stonetrack.node.drive import Waker
-from stonetrack.settings.schema import Node
-from stonetrack.wire.http1 import Headers
 
 RESERVED = "kv_transfer_params"
 _encode = msgspec.json.Encoder().encode
@@ -139,106 +135,6 @@
         self.respond(200, _encode(self.whole.completion()))
 
 
-class Admission:
-    """What every front does with a request before the node has it: key, model, class, time left."""
-
-    def __init__(self, service: Service, estimator: classify.Estimator | None = None) -> None:
-        self.service = service
-        self.estimator = estimator or classify.ByteEstimator()
-        self._keyed: tuple[Node, bytes] = (service.settings, classify.hash_key(service.settings))
-
-    def tenant(self, headers: Headers) -> int:
-        """The key's tenant.  Raises ApiError."""
-        settings = self.service.settings
-        key = auth.bearer(headers.get("authorization"))
-        tenant = auth.tenant_of(key, settings.tenants, settings.any_key)
-        if tenant is None:
-            said = "is not known" if key else "is missing: Authorization: Bearer KEY is needed"
-            raise ApiError(
-                401,
-                f"the API key {said}",
-                "authentication_error",
-                code="invalid_api_key",
-                headers=(("WWW-Authenticate", "Bearer"),),
-            )
-        return tenant
-
-    def engine_model(self, name: str) -> str:
-        """What the engines call a model.  Raises ApiError."""
-        for model in self.service.settings.models:
-            if model.name == name:
-                return model.engine_name or model.name
-        raise ApiError(404, f"the model {name[:100]!r} does not exist", param="model", code="model_not_found")
-
-    def ask(
-        self, request_id: str, request: Request, tenant: int, parsed: ChatRequest, body: dict[str, Any], whole: bool
-    ) -> ports.Ask:
-        """The node's view of a chat; ``body`` is what the engines are sent.  Raises ApiError."""
-        settings, headers = self.service.settings, request.head.headers
-        of, hash_key = self._keyed
-        if of is not settings:
-            hash_key = classify.hash_key(settings)
-            self._keyed = settings, hash_key
-        shape = classify.shape(body["messages"], body.get("tools"), parsed.model, self.estimator, hash_key)
-        class_index = classify.class_of(settings, parsed.model, headers, shape.prompt_tokens)
-        try:
-            left = classify.time_left(settings, class_index, headers, time.monotonic_ns() - request.arrived)
-        except classify.BadTimeLeft as error:
-            raise ApiError(400, str(error), param=classify.TIME_HEADER, code="invalid_value") from None
-        names = (parsed.prompt_cache_key, headers.get(classify.SESSION_HEADER), parsed.user)
-        key = headers.get(classify.KEY_HEADER)
-        if len(key) > 255:
-            raise ApiError(
-                400, "header idempotency-key: at most 255 characters", param=classify.KEY_HEADER, code="invalid_value"
-            )
-        retried = headers.get("x-stainless-retry-count")
-        return ports.Ask(
-            request_id,
-            class_index,
-            classify.session_of(names, tenant, hash_key),
-            left,
-            max(shape.prompt_tokens, 1),
-            body,
-            shape.shared_beginning,
-            shape.shared_tokens,
-            parsed.max_completion_tokens or parsed.max_tokens or 0,
-            tenant,
-            key,
-            whole=whole,
-            repeated=retried.isdecimal() and retried != "0",
-        )
-
-    def run(self, front: str, ask: ports.Ask, sink: HttpSink, waker: Waker, arrived: int) -> bool:
-        """Serve and record; whether the connection may be kept."""
-        life = self.service.serve(ask, sink, waker)  # type: ignore[arg-type]
-        now = time.monotonic_ns()
-        self.service.record(
-            Record(
-                front,
-                ask.request,
-                ask.class_index,
-                ask.tenant,
-                sink.status,
-                "gone" if life.gone else sink.ended,
-                now - arrived,
-                sink.first - arrived if sink.first >= 0 else -1,
-                life.number + 1,
-                sink.usage,
-            )
-        )
-        return sink.keep and not life.gone
-
-    def flags(self, ask: ports.Ask) -> tuple[bool, bool]:
-        """For errors: whether the tenant has a share, and whether a repeat after a failure does no harm."""
-        settings = self.service.settings
-        limited = bool(settings.tenants and settings.tenants[ask.tenant].quota_per_second)
-        return limited, settings.classes[ask.class_index].effect is Effect.SAFE
-
-    def headers(self, request_id: str) -> tuple[tuple[str, str], ...]:
-        """The headers of every answer."""
-        return (("X-Request-Id", request_id), ("X-Stonetrack-Instance", self.service.name))
-
-
 class Chat:
     """The chat front."""
 
--- a/stonetrack/fronts/kserve.py
+++ b/stonetrack/fronts/kserve.py
@@ -13,7 +13,8 @@
 from msgspec import Meta
 
 from stonetrack import __version__
-from stonetrack.fronts.chat import Admission, ChatRequest, Message, decode, new_id
+from stonetrack.fronts.admission import Admission
+from stonetrack.fronts.chat import ChatRequest, Message, decode, new_id
 from stonetrack.fronts.errors import ApiError
 from stonetrack.fronts.host import Connection, Request, plain
 from stonetrack.fronts.sinks import EventSink, HttpSink, WholeSink
