--- a/stonetrack/fronts/admission.py
+++ b/stonetrack/fronts/admission.py
@@ -1,4 +1,4 @@
-"""What every front does with a request before the node has it: key, model, class, session, time left; and its record."""
+"""What every front does before the node has a request (key, model, class, session, time left), and its record."""
 
 from __future__ import annotations
 
