--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -29,33 +29,31 @@
     assert message.startswith(b'<rpc message-id="102"\n     xmlns=') and message.endswith(b"</rpc>") and framer.empty
 
 
+def fed(framer: Framer, stream: bytes, draw: random.Random) -> list[bytes]:
+    """What comes of a stream that is cut anywhere."""
+    found: list[bytes] = []
+    while stream:
+        cut = draw.randrange(1, len(stream) + 1)
+        found += framer.feed(stream[:cut])
+        stream = stream[cut:]
+    return found
+
+
 @settings(max_examples=200, deadline=None)
 @given(st.lists(st.binary(min_size=1, max_size=60), min_size=1, max_size=6), st.integers(1, 30), st.randoms())
 def test_messages_come_out_as_they_went_in_however_they_are_cut(
     messages: list[bytes], size: int, draw: random.Random
 ) -> None:
-    stream = b"".join(in_chunks(message, size) for message in messages)
     framer = Framer()
     framer.chunked()
-    found: list[bytes] = []
-    while stream:
-        cut = draw.randrange(1, len(stream) + 1)
-        found += framer.feed(stream[:cut])
-        stream = stream[cut:]
-    assert found == messages and framer.empty
+    assert fed(framer, b"".join(in_chunks(message, size) for message in messages), draw) == messages and framer.empty
 
 
 @settings(max_examples=150, deadline=None)
 @given(st.lists(st.binary(max_size=40).filter(lambda m: b"]" not in m), max_size=5), st.randoms())
 def test_marked_messages_come_out_as_they_went_in(messages: list[bytes], draw: random.Random) -> None:
-    stream = b"".join(map(marked, messages))
     framer = Framer()
-    found: list[bytes] = []
-    while stream:
-        cut = draw.randrange(1, len(stream) + 1)
-        found += framer.feed(stream[:cut])
-        stream = stream[cut:]
-    assert found == messages and framer.empty
+    assert fed(framer, b"".join(map(marked, messages)), draw) == messages and framer.empty
 
 
 def test_the_form_changes_between_two_messages_of_one_read() -> None:
--- a/tests/test_replaying.py
+++ b/tests/test_replaying.py
@@ -325,6 +325,21 @@
     assert told > 300
 
 
+def test_a_capture_by_another_version_is_refused_by_name_and_the_rest_is_read(tmp_path: Path) -> None:
+    made = calls(400)
+    write(tmp_path, made, block=20, segment_bytes=2_500)
+    paths = files(tmp_path)
+    other = b"stonecap\x00\n"
+    paths[1].write_bytes(other + paths[1].read_bytes()[len(other) :])
+    reading = Reading(paths)
+    records = list(reading)
+    assert f"{paths[1].name}: offset 0: not a capture of this version" in reading.damage[0]
+    assert f"{paths[2].name}: offset" in reading.damage[1] and "records are missing" in reading.damage[1]
+    assert run(records).same and records[-1][1] == made[-1]
+    told = command("capture", "verify", str(tmp_path))
+    assert told.returncode == 1 and "not a capture of this version" in told.stdout
+
+
 def test_two_routers_in_one_folder_never_mix(tmp_path: Path) -> None:
     one, two = calls(300), calls(280)
     write(tmp_path, one, block=30, segment_bytes=2_000)
