An instance does not load numpy: the store imports the index where it reads one

Cause: instances open the store only for marks before they delete, and paid for the index's numpy at start. Change: the import stands where an index is read.

--- a/stonetrack/capture/store.py
+++ b/stonetrack/capture/store.py
@@ -14,15 +14,16 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import lmdb
 import msgspec
 import zstandard
 
-from stonetrack.capture import index
 from stonetrack.capture.codec import CaptureError
-from stonetrack.capture.index import Index
+
+if TYPE_CHECKING:  # numpy is a quarter of a second that an instance, which only asks for marks, need not pay
+    from stonetrack.capture.index import Index
 
 NAME = "store"
 MAP = 16 << 30  # bytes of address space; the file grows as needed
@@ -131,6 +132,8 @@
 
     def index_of(self, path: Path) -> Index | None:
         """A segment's index, where it is of the file as it stands."""
+        from stonetrack.capture import index
+
         raw = self._get(b"segments", path.name)
         if raw is None:
             return None
