Fold: one way to make a folder's names durable; a revision loaded once for all cases

Change: sync_folder, module_at and plain serve both; a look at candidates is kept by name. Behaviour is the same.

--- a/stonetrack/capture/explain.py
+++ b/stonetrack/capture/explain.py
@@ -65,8 +65,8 @@
 
     def __init__(self) -> None:
         self.reasons: list[Reason] = []
-        self.bests: list[tuple[list[str], dict[str, float], dict[str, int], str]] = []
-        self.usable: list[tuple[list[str], list[str]]] = []
+        self.bests: list[tuple[dict[str, float], dict[str, int]]] = []  # of each look: scores and covered, by who stood
+        self.usable: list[str] = []  # who stood at the last look
 
 
 def _age(router: Any, server: Any) -> int | None:
@@ -91,31 +91,30 @@
 
 def _reader_choice(router: Any, request: Any, watch: _Watch, chosen: Any) -> Choice:
     servers = [s for s in router.servers.values() if s.role is not s.role.WRITER or router.settings.writers_read]
-    stood = {name for names, _, _, _ in watch.bests for name in names}
-    first = watch.bests[0] if watch.bests else ([], {}, {}, "")
+    scores, covered = watch.bests[0] if watch.bests else ({}, {})  # who stands at a second look stood at the first
     wait = router._writers_wait() + router.now - request.arrived if hasattr(router, "_writers_wait") else 0.0
     found = []
     for s in servers:
         one = Candidate(s.name, s.role.value, report_age=_age(router, s), chosen=chosen is s)
-        if s.name in stood:
-            one.score, one.covered = first[1].get(s.name), first[2].get(s.name, 0)
+        if s.name in scores:
+            one.score, one.covered = scores[s.name], covered[s.name]
             one.load = router._read_load(s)
             one.memory = s.report.memory_share if s.report is not None else None
-            work = s.work_out + max(request.prompt - (one.covered or 0), 16)
+            work = s.work_out + max(request.prompt - covered[s.name], 16)
             one.expected = (wait + router._read_time(s, work)) / request.aim()
         else:
             one.out = _out_because(router, s, request)
         found.append(one)
     exceptions = []
-    if len(watch.bests) > 1 and len(watch.bests[1][0]) < len(watch.bests[0][0]):
+    if len(watch.bests) > 1 and len(watch.bests[1][0]) < len(scores):
         exceptions.append("pile-up: readers whose queue takes much of the aim do not compete")
-    if watch.bests and not any(watch.bests[-1][2].get(name, 0) for name in watch.bests[-1][0]):
+    if watch.bests and not any(watch.bests[-1][1].values()):
         exceptions.append("unknown key: near scores are a tie for the hash of the key")
     return Choice("reader", request.name, router.now, chosen.name if chosen else "", found, exceptions)
 
 
 def _writer_choice(router: Any, request: Any, cell: int | None, watch: _Watch, chosen: Any) -> Choice:
-    stood = set(watch.usable[-1][1]) if watch.usable else set()
+    stood = set(watch.usable)
     exceptions, found = [], []
     waiting = []
     for s in router.servers.values():
@@ -160,7 +159,8 @@
 
     def best_reader(self: Any, request: Any, servers: Any, scores: Any, covered: Any) -> Any:
         chosen = parent._best_reader(self, request, servers, scores, covered)
-        watch.bests.append(([s.name for s in servers], dict(scores), dict(covered), chosen.name))
+        looked = [s.name for s in servers]
+        watch.bests.append(({n: scores[n] for n in looked}, {n: covered[n] for n in looked}))
         return chosen
 
     def choose_writer(self: Any, request: Any, cell: Any) -> Any:
@@ -171,7 +171,7 @@
 
     def usable(self: Any, servers: Any, request: Any) -> Any:
         group = parent._usable(self, servers, request)
-        watch.usable.append(([s.name for s in servers], [s.name for s in group]))
+        watch.usable[:] = [s.name for s in group]
         return group
 
     def give_up(self: Any, request: Any) -> Any:
--- a/stonetrack/capture/recorder.py
+++ b/stonetrack/capture/recorder.py
@@ -38,6 +38,15 @@
     return False
 
 
+def sync_folder(folder: Path) -> None:
+    """Make the names in a folder durable."""
+    descriptor = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def retain(folder: Path, budget: int) -> list[str]:
     """Delete the oldest segments past the budget; what is kept or being written stays.  The names that went."""
     kept: dict[str, str] = {}
@@ -153,11 +162,7 @@
                 case Sync(folder):
                     os.fdatasync(self._descriptor())
                     if folder:
-                        descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-                        try:
-                            os.fsync(descriptor)
-                        finally:
-                            os.close(descriptor)
+                        sync_folder(self.folder)
                 case Close():
                     self._release()
 
--- a/stonetrack/capture/tend.py
+++ b/stonetrack/capture/tend.py
@@ -33,7 +33,7 @@
 from stonetrack.capture.history import Reading
 from stonetrack.capture.index import Builder
 from stonetrack.capture.journal import SUFFIX
-from stonetrack.capture.recorder import is_open, retain
+from stonetrack.capture.recorder import is_open, retain, sync_folder
 from stonetrack.capture.store import Saved, Store
 from stonetrack.logic import Router
 
@@ -239,11 +239,7 @@
                 size = aside.stat().st_size
                 if size < len(data):
                     os.rename(aside, path)
-                    descriptor = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
-                    try:
-                        os.fsync(descriptor)
-                    finally:
-                        os.close(descriptor)
+                    sync_folder(self.folder)
                     yield from self._index(path)
             finally:
                 aside.unlink(missing_ok=True)
--- a/stonetrack/cli/capturing.py
+++ b/stonetrack/cli/capturing.py
@@ -126,7 +126,7 @@
 @click.option("--at", "revision_name", default="now", help="As this revision of the module would have decided.")
 def explain_request(folder: Path, request: str, revision_name: str) -> None:
     """Why REQUEST went where it went: what was known, each candidate's scores, the exceptions that acted."""
-    module = _module(revision_name)
+    module = module_at(revision_name)
     cls, reasons = explain.traced(module.logic.Router)
     shown = 0
 
@@ -157,19 +157,21 @@
             click.echo(f"{name}: {shown - before} calls about {request}; replayed from record {reading.started}")
             say(reading.damage)
             if (other := result.difference) is not None:
-                click.echo(f"  from call {other.number} on {module.name} decides otherwise: {_plain(other.now)}")
+                click.echo(f"  from call {other.number} on {module.name} decides otherwise: {plain(other.now)}")
     if not shown:
         raise Refusal(f"{folder}: no call about request {request!r} that can be replayed")
 
 
-def _module(name: str) -> revision.Module:
+def module_at(name: str) -> revision.Module:
+    """A revision's module.  Raises Refusal."""
     try:
         return revision.load(name)
     except (CaptureError, OSError) as error:
         raise Refusal(str(error)) from None
 
 
-def _plain(actions: Iterable[object]) -> str:
+def plain(actions: Iterable[object]) -> str:
+    """Actions as one line."""
     return "; ".join(map(str, actions)) or "nothing"
 
 
@@ -194,7 +196,7 @@
         reading = Reading(files)
         begin = partial(seek.since, folder, reading, since) if since is not None else reading.records
         if against:
-            differs += _against(name, begin(), _module(against), until)
+            differs += _against(name, begin(), module_at(against), until)
         else:
             differs += _again(name, begin, until, request)
         say(reading.damage)
@@ -228,8 +230,8 @@
     if (found := result.difference) is None:
         return 0
     click.echo(f"  first difference: call {found.number} at {found.call.at}: {found.call.event}")
-    click.echo(f"    captured: {_plain(found.call.actions)}")
-    click.echo(f"    now:      {_plain(found.now)}")
+    click.echo(f"    captured: {plain(found.call.actions)}")
+    click.echo(f"    now:      {plain(found.now)}")
     for line in again.reasons_at(begin(), found.number):
         click.echo(f"      {line}")
     return 1
--- a/stonetrack/cli/keeping.py
+++ b/stonetrack/cli/keeping.py
@@ -13,7 +13,7 @@
 from stonetrack.capture.codec import CaptureError
 from stonetrack.capture.store import Store
 from stonetrack.capture.tend import Tender
-from stonetrack.cli.capturing import FOLDER, Refusal, segments
+from stonetrack.cli.capturing import FOLDER, Refusal, module_at, plain, segments
 
 
 def _store(folder: Path) -> Store:
@@ -110,15 +110,16 @@
 @click.option("--at", "revision_name", default="now", show_default=True, help="The revision that runs them.")
 def cases(folder: Path, revision_name: str) -> None:
     """Run a folder of cases (or one); exit code 1 where a fault is back."""
-    from stonetrack.capture import case, revision
+    from stonetrack.capture import case
 
     files = sorted(folder.glob("*.case")) if folder.is_dir() else [folder]
     if not files:
         raise Refusal(f"{folder}: no cases (*.case) here")
+    module = module_at(revision_name)
     worst = 0
     for path in files:
         try:
-            made, module = case.decode(path.read_bytes()), revision.load(revision_name)
+            made = case.decode(path.read_bytes())
         except CaptureError as error:
             raise Refusal(f"{path.name}: {error}") from None
         ran = case.run(made, module.make)
@@ -126,7 +127,7 @@
         click.echo(f"{path.name}: {ran.verdict} ({made.title}; mended by {made.fixed_by})")
         if ran.verdict != "fixed":
             for label, actions in (("then", made.then), ("now", made.now), (module.name, ran.last)):
-                click.echo(f"  {label + ':':<10} {'; '.join(map(str, actions)) or 'nothing'}")
+                click.echo(f"  {label + ':':<10} {plain(actions)}")
     sys.exit(worst)
 
 
