--- a/stonetrack/cli/keeping.py
+++ b/stonetrack/cli/keeping.py
@@ -13,7 +13,7 @@
 from stonetrack.capture.codec import CaptureError
 from stonetrack.capture.store import Store
 from stonetrack.capture.tend import Tender
-from stonetrack.cli.capturing import FOLDER, Refusal, module_at, plain, segments
+from stonetrack.cli.capturing import FOLDER, Refusal, capture, module_at, plain, segments
 
 
 def _store(folder: Path) -> Store:
@@ -197,3 +197,7 @@
         said = f", {counts.otherwise} of {counts.calls} decided otherwise under their new names" if rename else ""
         left = f", {counts.left_out} records left out" if counts.left_out else ""
         click.echo(f"{path.name}: {result.calls} calls replay the same{said}{left}")
+
+
+for command in (keep, note, tend, cut, cases, export, redact_folder):
+    capture.add_command(command)
--- a/stonetrack/cli/main.py
+++ b/stonetrack/cli/main.py
@@ -1,38 +1,45 @@
-"""All commands."""
+"""All commands.  Each one's module is imported when it is called: an instance carries what it uses, no more."""
 
 from __future__ import annotations
 
+from importlib import import_module
+
 import click
 
 from stonetrack import __version__
-from stonetrack.cli import capturing, keeping, serving, trying
 
+COMMANDS = {
+    "serve": "serving:serve",
+    "check": "serving:check",
+    "hash-key": "serving:hash_key",
+    "instance": "serving:instance",
+    "edge": "edging:edge",
+    "standin": "trying:standin",
+    "demo": "trying:demo",
+    "day": "trying:day",
+    "capture": "keeping:capture",
+    "replay": "capturing:replay",
+}
+
+
+class Commands(click.Group):
+    """A group whose commands are imported by name."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """See ``click.Group``."""
+        return list(COMMANDS)
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """See ``click.Group``."""
+        if cmd_name not in COMMANDS:
+            return None
+        module, _, name = COMMANDS[cmd_name].partition(":")
+        command = getattr(import_module(f"stonetrack.cli.{module}"), name)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
 @click.version_option(__version__, prog_name="stonetrack")
 def main() -> None:
     """A router for language-model serving: readers (prefill) and writers (decode) behind one chat API."""
-
-
-for command in (
-    serving.serve,
-    serving.check,
-    serving.hash_key,
-    serving.instance,
-    trying.standin,
-    trying.demo,
-    trying.day,
-    capturing.capture,
-    capturing.replay,
-):
-    main.add_command(command)
-for command in (
-    keeping.keep,
-    keeping.note,
-    keeping.tend,
-    keeping.cut,
-    keeping.cases,
-    keeping.export,
-    keeping.redact_folder,
-):
-    capturing.capture.add_command(command)
--- /dev/null
+++ b/stonetrack/edge/asks.py
@@ -0,0 +1,113 @@
+"""A client's request as the router is to see it, or why it can't be taken.  No I/O.
+
+Only heads are read; the body goes to the engines as it came, and what is in it is theirs to judge.  All that is
+doubtful in a head that decides something is refused: an id goes into the path of calls to engines, so it is held to
+plain characters; a header that stands twice is read by nobody knows whom.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from stonetrack.node.ports import Ask
+from stonetrack.wire.http1 import Headers, RequestHead
+
+MS = 1_000_000
+CHAT = "/v1/chat/completions"
+CHARACTERS_PER_TOKEN = 4  # the protocol's own measure
+MARGIN = 30 * MS  # for the way of a last answer back to the client
+LONGEST = 600_000 * MS  # more time left than this is taken as this
+
+_ID = re.compile(r"[0-9A-Za-z_.:-]{1,128}")
+_TIME = re.compile(r"([0-9]{1,15})([mu])")
+_UNITS = {"m": MS, "u": 1_000}
+_FACT = re.compile(r"([a-z_0-9]{1,32})=([^,=\s]{1,200})")
+_COUNT = re.compile(r"[0-9]{1,9}")
+ID, CLASS, SESSION, LEFT, FACTS, REPEAT = (
+    "x-correlation-id",
+    "x-service-class",
+    "x-session-key",
+    "x-time-left",
+    "x-facts",
+    "x-repeat",
+)
+
+
+class BadAsk(ValueError):
+    """A request that can't be taken; ``status`` is the answer's."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """What goes to the engines unchanged, and when the client stops waiting for a first event (node's clock, ns)."""
+
+    target: str
+    data: bytes
+    deadline: int
+
+
+def time_left(text: str) -> int:
+    """Nanoseconds of a time-left header.  Raises BadAsk."""
+    found = _TIME.fullmatch(text)
+    if found is None or not int(found.group(1)):
+        raise BadAsk(f"{LEFT}: found {text[:40]!r}; allowed: a whole number from 1 on, then m or u")
+    return min(int(found.group(1)) * _UNITS[found.group(2)], LONGEST)
+
+
+def facts(text: str) -> dict[str, str]:
+    """The pairs of a facts header.  Raises BadAsk."""
+    pairs: dict[str, str] = {}
+    for part in text.split(",") if text else ():
+        found = _FACT.fullmatch(part.strip())
+        if found is None or found.group(1) in pairs:
+            raise BadAsk(f"{FACTS}: found {part[:60]!r}; allowed: name=value pairs, each name once")
+        pairs[found.group(1)] = found.group(2)
+    return pairs
+
+
+def _count(pairs: dict[str, str], name: str, default: int) -> int:
+    text = pairs.get(name)
+    if text is None:
+        return default
+    if not _COUNT.fullmatch(text):
+        raise BadAsk(f"{FACTS}: {name}: found {text[:40]!r}; allowed: a whole number of tokens")
+    return int(text)
+
+
+def _one(headers: Headers, name: str) -> str:
+    found = headers.all(name)
+    if len(found) > 1:
+        raise BadAsk(f"{name}: stands {len(found)} times; once is allowed")
+    return found[0] if found else ""
+
+
+def ask(head: RequestHead, body: bytes, classes: dict[str, int], waited: int, now: int) -> Ask:
+    """The request, ``waited`` nanoseconds after its head came.  Raises BadAsk."""
+    headers = head.headers
+    request = _one(headers, ID)
+    if not _ID.fullmatch(request):
+        raise BadAsk(f"{ID}: found {request[:40]!r}; allowed: 1 to 128 letters, digits, _ . : -")
+    name = _one(headers, CLASS)
+    if name not in classes:
+        raise BadAsk(f"{CLASS}: found {name[:40]!r}; allowed: {', '.join(classes)}")
+    left = time_left(_one(headers, LEFT)) - waited
+    told = facts(_one(headers, FACTS))
+    prompt = _count(told, "prompt_len", len(body) // CHARACTERS_PER_TOKEN)
+    beginning = told.get("prefix")
+    return Ask(
+        request,
+        classes[name],
+        _one(headers, SESSION)[:200],
+        max(left - MARGIN, 0),
+        max(prompt, 1),
+        Body(head.target, body, now + left),
+        beginning if beginning not in (None, "0") else None,
+        min(_count(told, "prefix_len", 0), prompt),
+        _count(told, "max_out", 0),
+        repeated=_one(headers, REPEAT) == "1",
+    )
--- /dev/null
+++ b/stonetrack/edge/budget.py
@@ -0,0 +1,34 @@
+"""What each part of a node may hold, out of what the configuration allows in all.  No I/O.
+
+Every request under way needs a client's connection and an engine's; one that waits, a descriptor to be woken by (past
+their share a request looks up by itself instead).  Fixed needs come off first.  The rest is shared so that no part can
+take another's: clients that connect and say nothing can't use up what attempts need, nor kept connections either.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+FIXED = 24  # standard streams, listener, reserve, epoll, discovery's watch (old and new), the configuration's file
+CALLS = 8  # connections for places and releases
+BYTES_A_REQUEST = 400_000  # stack, buffers and body of one request under way, as measured, rounded up
+BASE_BYTES = 45_000_000  # interpreter, imports, tables
+
+
+@dataclass(frozen=True, slots=True)
+class Budget:
+    """Shares of the descriptors; all together at most what was given."""
+
+    clients: int  # connections from clients
+    requests: int  # requests under way, so attempts too
+    wakers: int
+    kept: int  # idle connections to engines
+
+
+def divide(sockets: int, memory_mb: float) -> Budget:
+    """Shares of so many descriptors, with requests bounded by memory as well."""
+    free = sockets - FIXED - CALLS
+    clients = free * 45 // 100
+    requests = min(free * 33 // 100, max(16, int((memory_mb * 1e6 - BASE_BYTES) / BYTES_A_REQUEST)))
+    wakers = free * 10 // 100
+    return Budget(clients, requests, wakers, free - clients - requests - wakers)
--- /dev/null
+++ b/stonetrack/edge/engines.py
@@ -0,0 +1,96 @@
+"""Engines reached by the platform's protocol (``ports.Engines``): attempts over a shared pool, places, releases."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from stonetrack import api
+from stonetrack.edge.asks import ID, LEFT
+from stonetrack.edge.exchange import Exchange, ReadReport
+from stonetrack.edge.hosts import Engine
+from stonetrack.edge.leases import Leases
+from stonetrack.engines.attempt import SocketAttempt
+from stonetrack.engines.pool import Pool, abort
+from stonetrack.node.ports import Ask, Attempt, Over
+from stonetrack.wire import http1, writer
+
+SERVICE = "origin.svc"
+CONFIRM = 0.02  # seconds in which an engine may show that it saw an attempt taken back
+_LIMITS = http1.Limits(head=16_384, headers=64, body=8 << 20)
+
+
+def request_bytes(ask: Ask, left: int) -> bytes:
+    """One attempt's request; ``left`` nanoseconds is how long the node will wait."""
+    body = ask.body
+    headers = [
+        ("Host", SERVICE),
+        (ID.title(), ask.request),
+        (LEFT.title(), f"{max(left // 1_000_000, 1)}m"),
+        ("Content-Type", "application/json"),
+    ]
+    return writer.request("POST", body.target, headers, body.data)
+
+
+class EdgeEngines:
+    """Reaches the engines of the current list."""
+
+    def __init__(
+        self,
+        pool: Pool,
+        leases: Leases,
+        clock: Callable[[], int],
+        connect_timeout: float,
+        read_report: ReadReport,
+    ) -> None:
+        self.pool, self.leases = pool, leases
+        self._clock, self._connect, self._read_report = clock, connect_timeout, read_report
+        self._engines: dict[str, Engine] = {}
+
+    def list_changed(self, engines: dict[str, Engine]) -> None:
+        """Take the addresses of a new list; what is kept to others is closed."""
+        self._engines = engines
+        self.leases.list_changed(engines)
+        self.pool.forget({(e.host, e.port) for e in engines.values()})
+
+    def start(
+        self, ask: Ask, server: str, number: int, state: Any, place: bool, may_send: Callable[[str], bool]
+    ) -> Attempt | Over:
+        """See ``ports.Engines.start``."""
+        engine = self._engines.get(server)
+        if engine is None or not may_send(server):
+            return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving or gone")
+        if engine.role is not api.Role.READER:
+            self.leases.past(ask.request)
+        try:
+            sock, _ = self.pool.take(engine.host, engine.port, self._connect)
+        except OSError as error:
+            return Over(api.Outcome.CONNECT_FAILED, f"engine {server}: {error}")
+        if not may_send(server):  # a list may have come while we connected
+            abort(sock)
+            return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
+        attempt = SocketAttempt(
+            sock,
+            request_bytes(ask, ask.body.deadline - self._clock()),
+            Exchange(engine.role, _LIMITS, self._read_report),
+            CONFIRM,
+            lambda back: self.pool.give(engine.host, engine.port, back),
+            api.Outcome.CONNECT_FAILED,
+        )
+        for event in attempt.push():
+            if isinstance(event, Over):
+                return event
+        return attempt
+
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
+        """See ``ports.Engines.hold``."""
+        self.leases.hold(request, server, answer)
+
+    def release(self, request: str, reader: str, state: Any, place: str, number: int, rest: bool) -> None:
+        """See ``ports.Engines.release``.  One call lets go of all that is held for a request, so with ``rest`` there
+        is none: a place is given up by the send elsewhere, a writer that failed holds nothing of its own."""
+        if not rest:
+            self.leases.release(request)
+
+    def probe(self, server: str) -> None:
+        """See ``ports.Engines.probe``: the router asks for none where reports come with answers."""
--- /dev/null
+++ b/stonetrack/edge/hosts.py
@@ -0,0 +1,122 @@
+"""Discovery's lists without I/O: documents in, ``ServerList`` events and addresses out.
+
+A document is ``{"rev", "all", "targets": [...]}``, a whole list or changes.  It is taken whole or, where it can't be
+read, not at all; a single target that can't be used (an unknown model, no address) is left out and named, since it must
+not take the news of all others with it.  Changes older than what is held are passed over.  A whole list that a fresh
+watch begins with is taken whatever its version: whoever sends it doesn't know ours.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from stonetrack import api
+from stonetrack.edge.config import ConfigError, address
+
+MS = 1_000_000
+_STATES = {
+    "SERVING": api.ServerState.UP,
+    "DRAINING": api.ServerState.DRAINING,
+    "DELETED": api.ServerState.REMOVED,
+}
+
+
+class HostsError(ValueError):
+    """A document that can't be read; the text says why."""
+
+
+class Target(msgspec.Struct, frozen=True):
+    """One engine as discovery gives it; ``boot_ms`` is Unix time, 0 for long ago."""
+
+    uid: str
+    endpoint: str = ""
+    az: str = ""
+    model: str = ""
+    pod_group: int = 0
+    state: str = "SERVING"
+    capacity_hint: float = 1.0
+    boot_ms: float = 0.0
+
+
+class Document(msgspec.Struct, frozen=True):
+    """A list, or changes to it."""
+
+    rev: int
+    targets: list[Target]
+    all: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """An engine as this node reaches it."""
+
+    name: str
+    host: str
+    port: int
+    role: api.Role
+    up: bool
+
+
+class Hosts:
+    """The list as last taken."""
+
+    def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...], roles: tuple[api.Role, ...]) -> None:
+        self._kinds = {name: n for n, name in enumerate(kinds)}
+        self._zones = {name: n for n, name in enumerate(zones)}
+        self._roles = roles
+        self.engines: dict[str, Engine] = {}
+        self.rev = -1
+        self.passed_over: list[str] = []  # what the last document held that can't be used
+
+    def take(self, data: bytes, known: bool = False, fresh: bool = False) -> api.ServerList | None:
+        """The event of a document, None for one that is older than what is held.  Raises HostsError.
+
+        ``known`` marks the list that the configuration brought, ``fresh`` the first document of a watch.
+        """
+        try:
+            document = msgspec.json.decode(data, type=Document)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise HostsError(f"{error}: {data[:80]!r}") from None
+        if document.rev < self.rev and not (document.all and fresh):
+            return None
+        self.passed_over = []
+        entries = [entry for target in document.targets if (entry := self._entry(target)) is not None]
+        if document.all:
+            listed = {entry.server for entry in entries}
+            self.engines = {name: engine for name, engine in self.engines.items() if name in listed}
+        for entry in entries:
+            if entry.state is api.ServerState.REMOVED:
+                self.engines.pop(entry.server, None)
+        self.rev = document.rev
+        kind = api.ListKind.SAVED if known else api.ListKind.FULL if document.all else api.ListKind.CHANGES
+        return api.ServerList(kind, document.rev, tuple(entries))
+
+    def _entry(self, target: Target) -> api.ServerEntry | None:
+        state = _STATES.get(target.state)
+        if state is None:
+            self._pass(target, f"state {target.state[:40]!r}")
+            return None
+        held = self.engines.get(target.uid)
+        if state is api.ServerState.REMOVED:
+            return api.ServerEntry(target.uid, 0, 0, target.pod_group, state)
+        kind = self._kinds.get(target.model)
+        if kind is None or kind >= len(self._roles):
+            self._pass(target, f"model {target.model[:40]!r}")
+            return None
+        try:
+            host, port = address(target.endpoint, "endpoint")
+        except ConfigError as error:
+            self._pass(target, str(error))
+            return None
+        engine = Engine(target.uid, host, port, self._roles[kind], state is api.ServerState.UP)
+        if held != engine:
+            self.engines[target.uid] = engine
+        weight = target.capacity_hint if 0.0 < target.capacity_hint < 1e6 else 1.0
+        zone = self._zones.setdefault(target.az, len(self._zones))
+        started = max(0, int(target.boot_ms * MS))
+        return api.ServerEntry(target.uid, zone, kind, target.pod_group, state, weight, started)
+
+    def _pass(self, target: Target, why: str) -> None:
+        self.passed_over.append(f"{target.uid[:60]}: {why}")
--- /dev/null
+++ b/stonetrack/edge/leases.py
@@ -0,0 +1,234 @@
+"""Places asked for and all that is held let go of: ``POST`` and ``DELETE /kv/leases/ID``, in the background.
+
+A release names the request alone and any engine carries it out for all, so it goes to whichever is likeliest to hear
+it: one with a kept connection that has not failed of late, another at each further try, until one answers.  Once a
+request has been read anew and goes to a writer, an older release that nobody has heard yet is dropped: it would let go
+of the new state.  (What it was for goes with the first token, or with the next release.)
+
+A place that is still being asked for when its request is let go of is let go of once more after the answer.
+"""
+
+from __future__ import annotations
+
+import queue
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stonetrack.edge.hosts import Engine
+from stonetrack.engines.pool import Pool, abort
+from stonetrack.engines.releases import Item, ReleaseBook
+from stonetrack.wire import http1, writer
+from stonetrack.wire.errors import ProtocolError
+
+PATH = "/kv/leases/"
+SECOND = 1e9
+RELEASE_TIMEOUT, HOLD_TIMEOUT = 0.12, 0.5  # seconds; an engine that can't tell of a place takes 0.3
+SUSPECT = 3_000_000_000  # nanoseconds for which an engine that did not answer is asked last
+_MOST_PLACES = 64  # waiting to be asked for: more than that come too late
+_LIMITS = http1.Limits(head=16_384, headers=64, body=65_536)
+
+
+@dataclass(slots=True)
+class _Hold:
+    """A place that is asked for."""
+
+    sent: bool = False
+    dropped: bool = False
+    let_go: bool = False  # the request was let go of meanwhile
+
+
+def pick(engines: list[Engine], kept: Callable[[Engine], int], suspects: dict[str, int], now: int,
+         tries: int) -> Engine | None:  # fmt: skip
+    """The engine for a release's n-th try: those that answered first, with kept connections first among them."""
+    if not engines:
+        return None
+    ranked = sorted(engines, key=lambda e: (suspects.get(e.name, 0) > now, not e.up, -kept(e)))
+    return ranked[tries % len(ranked)]
+
+
+def exchange(sock: socket.socket, request: bytes, timeout: float) -> tuple[int, bool]:
+    """Send one call and read its answer: status, and whether the connection may be kept.  Raises OSError."""
+    reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
+    end = time.monotonic() + timeout
+    sock.settimeout(timeout)
+    sock.sendall(request)
+    head: http1.ResponseHead | None = None
+    while True:
+        sock.settimeout(max(end - time.monotonic(), 0.001))
+        data = sock.recv(16_384)
+        if not data:
+            raise ConnectionError("closed without an answer")
+        try:
+            while events := reader.feed(data, messages=1):
+                data = b""
+                for event in events:
+                    if isinstance(event, http1.ResponseHead):
+                        head = event
+                    elif isinstance(event, http1.End) and head is not None and head.status >= 200:
+                        sock.settimeout(None)
+                        return head.status, head.keep_alive and reader.idle
+        except ProtocolError as error:
+            raise ConnectionError(str(error)) from None
+
+
+class Leases:
+    """Runs the calls on a few threads over the shared pool."""
+
+    def __init__(self, pool: Pool, clock: Callable[[], int], connect: float, release_within: int,
+                 threads: int = 3) -> None:  # fmt: skip
+        self._pool, self._clock, self._connect = pool, clock, connect
+        self._engines: dict[str, Engine] = {}
+        self._suspects: dict[str, int] = {}
+        self._jobs: queue.Queue[tuple[str, Engine, _Hold, Callable[[bool], None]] | None] = queue.Queue(_MOST_PLACES)
+        self._holding: dict[str, _Hold] = {}
+        self._hold_lock = threading.Lock()
+        self._book = ReleaseBook(give_up=20 * release_within)
+        self._open: dict[str, int] = {}  # releases that wait, by request
+        self._book_lock = threading.Condition(threading.Lock())
+        self._stopping = False
+        self.released = 0
+        self.unheard = 0
+        self._threads = [threading.Thread(target=self._places, name=f"places-{n}", daemon=True) for n in range(threads)]
+        self._threads += [
+            threading.Thread(target=self._releases, name=f"releases-{n}", daemon=True) for n in range(threads)
+        ]
+
+    def start(self) -> None:
+        """Start the threads."""
+        for thread in self._threads:
+            thread.start()
+
+    def list_changed(self, engines: dict[str, Engine]) -> None:
+        """Take a new list."""
+        self._engines = engines
+        self._suspects = {name: until for name, until in self._suspects.items() if name in engines}
+
+    @property
+    def open(self) -> int:
+        """Releases not heard yet and places being asked for."""
+        return len(self._book) + len(self._holding)
+
+    def wait(self, seconds: float) -> bool:
+        """Let open releases end for so many seconds; whether all did."""
+        end = time.monotonic() + seconds
+        while self.open and time.monotonic() < end:
+            time.sleep(0.01)
+        return not self.open
+
+    def _call(self, engine: Engine, method: str, request: str, timeout: float) -> int:
+        """One call's status.  Raises OSError; the engine then counts as suspect for a while."""
+        message = writer.request(method, PATH + request, [("Host", f"{engine.host}:{engine.port}")],
+                                 b"" if method == "POST" else None)  # fmt: skip
+        try:
+            sock, _ = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
+            try:
+                status, keep = exchange(sock, message, timeout)
+            except BaseException:
+                abort(sock)
+                raise
+        except OSError:
+            self._suspects[engine.name] = self._clock() + SUSPECT
+            raise
+        if keep:
+            self._pool.give(engine.host, engine.port, sock)
+        else:
+            sock.close()
+        return status
+
+    # Places.
+
+    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+        """Ask a writer for a place; ``answer`` is called unless it can't be heard or is no longer wanted."""
+        engine = self._engines.get(server)
+        if engine is None:
+            return
+        asked = _Hold()
+        with self._hold_lock:
+            self._holding[request] = asked
+        try:
+            self._jobs.put_nowait((request, engine, asked, answer))
+        except queue.Full:
+            with self._hold_lock:
+                self._holding.pop(request, None)
+
+    def _places(self) -> None:
+        while (job := self._jobs.get()) is not None:
+            request, engine, asked, answer = job
+            with self._hold_lock:
+                if asked.dropped:
+                    continue
+                asked.sent = True
+            try:
+                status = self._call(engine, "POST", request, HOLD_TIMEOUT)
+            except OSError:
+                status = 0  # not heard: it may hold one all the same
+            with self._hold_lock:
+                if self._holding.get(request) is asked:
+                    del self._holding[request]
+                let_go = asked.let_go
+            if let_go:
+                self._add(request)
+            elif status in (200, 409):
+                answer(status == 200)
+
+    def past(self, request: str) -> None:
+        """The request goes to a writer now: a place not asked for yet is not, a release not heard yet is dropped."""
+        with self._hold_lock:
+            asked = self._holding.get(request)
+            if asked is not None and not asked.sent:
+                asked.dropped = True
+                del self._holding[request]
+        with self._book_lock:
+            if (number := self._open.pop(request, None)) is not None:
+                self._book.done(number)
+
+    # Releases.
+
+    def release(self, request: str) -> None:
+        """Let go of all that is held for a request."""
+        with self._hold_lock:
+            if (asked := self._holding.get(request)) is not None:
+                asked.let_go = True
+                if not asked.sent:
+                    asked.dropped = True
+                    del self._holding[request]
+        self._add(request)
+
+    def _add(self, request: str) -> None:
+        with self._book_lock:
+            if request not in self._open:
+                self._open[request] = self._book.add(Item(request, "", 0, None, self._clock()))
+                self._book_lock.notify()
+
+    def _releases(self) -> None:
+        while True:
+            with self._book_lock:
+                while (found := self._book.due(self._clock())) is None:
+                    at = self._book.next_at()
+                    self._book_lock.wait(None if at is None else max(0.001, (at - self._clock()) / SECOND))
+            number, item = found
+            heard = self._release(item)
+            with self._book_lock:
+                if heard:
+                    self._book.done(number)
+                    self.released += 1
+                elif self._book.again(number, self._clock()):
+                    self._book_lock.notify()
+                    continue
+                else:
+                    self.unheard += 1
+                if self._open.get(item.request) == number:
+                    del self._open[item.request]
+
+    def _release(self, item: Item) -> bool:
+        engines = list(self._engines.values())
+        engine = pick(engines, lambda e: self._pool.kept(e.host, e.port), self._suspects, self._clock(), item.tries - 1)
+        if engine is None:
+            return False
+        try:
+            return self._call(engine, "DELETE", item.request, RELEASE_TIMEOUT) < 500
+        except OSError:
+            return False
--- /dev/null
+++ b/stonetrack/edge/serve.py
@@ -0,0 +1,210 @@
+"""One node in service: what it is told, its parts put together, its signals, its end.
+
+Signals are waited for by the main thread alone (``sigtimedwait``), blocked everywhere else, so that none can come
+between two steps of anything.  TERM: for a while clients still come, and what they send counts as taken; so accepting
+goes on for ``COMING`` seconds, with answers that close their connections, then the rest is served to its end.  HUP: the
+file is read again; a new address of discovery is followed from then on, and all else stays: router, tables,
+requests, connections.  What can't be read changes nothing.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import sys
+import threading
+import time
+from collections.abc import Mapping
+from pathlib import Path
+
+from stonetrack import drill
+from stonetrack.api import LoadReport
+from stonetrack.edge import asks
+from stonetrack.edge.budget import divide
+from stonetrack.edge.config import Config, ConfigError, parse
+from stonetrack.edge.engines import EdgeEngines
+from stonetrack.edge.hosts import Hosts, HostsError
+from stonetrack.edge.leases import Leases
+from stonetrack.edge.sink import EdgeSink
+from stonetrack.edge.watch import Watch
+from stonetrack.engines.pool import Pool
+from stonetrack.fronts.host import Connection, Host, Request, listen, plain
+from stonetrack.node.core import Core, unix_clock
+from stonetrack.node.drive import Bounds, Drive, Waker
+from stonetrack.settings.schema import Limits, Timing
+
+SECOND = 1_000_000_000
+STACK = 256 * 1024
+BODY = 262_144  # bytes, the protocol's bound
+SILENCE = 4 * SECOND + SECOND // 2  # a stream without an event for so long has broken
+STALL = 10 * SECOND  # a client that takes nothing for so long has gone
+COMING = 0.7  # seconds after TERM in which clients still come
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+
+
+def log(text: str) -> None:
+    """One line for the operators."""
+    with contextlib.suppress(OSError):
+        sys.stderr.write(f"{text}\n")
+        sys.stderr.flush()
+
+
+def refusal(status: int, why: str) -> bytes:
+    """The answer to what can't be read or served; the connection closes after it."""
+    return plain(status, f"{why}\n".encode(), kind="text/plain; charset=utf-8", keep=False)
+
+
+class EdgeNode:
+    """See the module."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = unix_clock()
+        budget = divide(config.limits.sockets, config.limits.memory_mb)
+        told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
+        self._told = told
+        self.core = Core(told.router, self.clock, log=log)
+        settings = config.settings
+        self.pool = Pool(budget.kept, config.connection_idle / SECOND / 2, budget.kept)
+        connect = max(settings.connect_timeout, 1) / SECOND
+        self.leases = Leases(self.pool, self.clock, connect, settings.release_within)
+        self.engines = EdgeEngines(self.pool, self.leases, self.clock, connect, self._report)
+        self.hosts = Hosts(config.kinds, config.zones, tuple(kind.role for kind in settings.kinds))
+        self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self.bounds = Bounds(SILENCE, STALL, 64 << 10)
+        self.watch = Watch(config.discovery, lambda: self.hosts.rev, self._document, log)
+        self._ids: set[str] = set()  # of requests under way
+        self._ids_lock = threading.Lock()
+        self.host = Host(
+            listen(*config.listen, 1024),
+            Limits(
+                connections=budget.clients,
+                workers=budget.requests,
+                head_bytes=16_384,
+                headers=64,
+                body_bytes=BODY,
+                socket_send_bytes=0,
+            ),
+            Timing(header_ms=2_000, body_ms=2_500, idle_ms=2_500, client_stall_ms=STALL // 1_000_000),
+            self.handle,
+            refusal,
+            log,
+            budget.wakers,
+        )
+
+    def _report(self, pairs: str) -> LoadReport | None:
+        try:
+            return self._told.report({"health_info": pairs})
+        except drill.WireError:
+            return None
+
+    def _document(self, data: bytes, fresh: bool, known: bool = False) -> None:
+        """Take a list: addresses first, since the router may send to what it is told of at once."""
+        try:
+            event = self.hosts.take(data, known, fresh)
+        except HostsError as error:
+            log(f"server list passed over: {error}")
+            return
+        if event is None:
+            return
+        for each in self.hosts.passed_over:
+            log(f"server list: passed over {each}")
+        self.engines.list_changed(dict(self.hosts.engines))
+        self.core.tell(event)
+
+    def start(self) -> None:
+        """Take the list that came along, follow discovery, accept clients."""
+        self.core.start()
+        self.leases.start()
+        if self.config.known:
+            self._document(self.config.known, fresh=True, known=True)
+        self.watch.start()
+        self.host.start()
+
+    # Requests.
+
+    def handle(self, connection: Connection, request: Request, waker: Waker) -> bool:
+        """Serve one request; whether the connection may be kept."""
+        head = request.head
+        sink = EdgeSink(connection, request)
+        if head.path == "/up" and head.method in ("GET", "HEAD"):
+            sink.respond(200, "up" if head.method == "GET" else "")
+            return sink.keep
+        if head.path != asks.CHAT or head.method != "POST":
+            sink.respond(404, f"allowed: POST {asks.CHAT}, GET /up")
+            return sink.keep
+        try:
+            waited = time.monotonic_ns() - request.arrived
+            ask = asks.ask(head, request.body, self.classes, waited, self.clock())
+        except asks.BadAsk as error:
+            sink.respond(error.status, str(error))
+            return sink.keep
+        with self._ids_lock:
+            taken = ask.request in self._ids
+            self._ids.add(ask.request)
+        if taken:
+            sink.respond(409, f"request {ask.request} is open already")
+            return sink.keep
+        try:
+            life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
+        finally:
+            with self._ids_lock:
+                self._ids.discard(ask.request)
+        return sink.keep and not life.gone
+
+    # Signals.
+
+    def reload(self, path: Path) -> None:
+        """Take what may change in a configuration: where discovery is."""
+        try:
+            config = parse(path.read_bytes())
+        except (OSError, ConfigError) as error:
+            log(f"configuration refused, nothing changed: {error}")
+            return
+        log(f"configuration read again: discovery at {config.discovery[0]}:{config.discovery[1]}")
+        self.watch.move(config.discovery)
+
+    def tend(self) -> None:
+        """What is looked after about once a second."""
+        self.pool.prune()
+
+    def drain(self) -> None:
+        """Serve what was taken to its end; signals that come meanwhile change nothing."""
+        self.host.leave()
+        time.sleep(COMING)
+        self.host.drain(sweep=True)
+        while self.core.open_requests or self.host.busy:
+            time.sleep(0.02)
+        self.leases.wait(1.0)
+
+
+def run(environ: Mapping[str, str]) -> int:
+    """Serve until TERM; the exit code."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    threading.stack_size(STACK)
+    where = environ.get("EDGE_CONFIG", "")
+    if not where:
+        log("EDGE_CONFIG is not set; it names the node's configuration, a JSON file")
+        return 2
+    path = Path(where)
+    try:
+        node = EdgeNode(parse(path.read_bytes()))
+    except ConfigError as error:
+        log(f"{path}: {error}")
+        return 2
+    except OSError as error:
+        log(f"{path}: {error}")
+        return 2
+    node.start()
+    log(f"serving as {node.config.name} on {node.config.listen[0]}:{node.config.listen[1]}")
+    while True:
+        got = signal.sigtimedwait(SIGNALS, 1.0)
+        if got is None:
+            node.tend()
+        elif got.si_signo == signal.SIGHUP:
+            node.reload(path)
+        else:
+            break
+    node.drain()
+    os._exit(0)
--- /dev/null
+++ b/stonetrack/edge/sink.py
@@ -0,0 +1,84 @@
+"""Answers to the platform's clients (``ports.Sink``): events passed on as they come, refusals, failures.
+
+A stream that breaks ends the connection without the last chunk.  Nothing follows a final answer.
+"""
+
+from __future__ import annotations
+
+from stonetrack.fronts.host import Connection, Request, plain
+from stonetrack.node import ports
+from stonetrack.wire import writer
+
+SECOND = 1e9
+
+
+def retry_after(nanoseconds: int) -> tuple[tuple[str, str], ...]:
+    """The advice in seconds, decimal where it is under way of one; none for none."""
+    return (("Retry-After", f"{nanoseconds / SECOND:g}"),) if nanoseconds > 0 else ()
+
+
+class EdgeSink:
+    """One request's answer on its client's connection."""
+
+    __slots__ = ("_head", "connection", "ended", "keep", "request")
+
+    def __init__(self, connection: Connection, request: Request) -> None:
+        self.connection, self.request = connection, request
+        self.keep = request.head.keep_alive
+        self.ended = ""
+        self._head = b""
+
+    def fileno(self) -> int:
+        """The client's descriptor."""
+        return self.connection.fileno()
+
+    @property
+    def pending(self) -> int:
+        """Bytes not yet taken by the socket."""
+        return len(self.connection.pending)
+
+    def flush(self) -> int:
+        """Write what the socket takes."""
+        return self.connection.flush()
+
+    def cork(self, on: bool) -> None:
+        """Keep what is written until uncorked."""
+        self.connection.corked = on
+
+    def begin(self) -> None:
+        """The answer begins; its head leaves with the first event."""
+        self.keep = self.keep and not self.connection.last and self.request.head.chunks
+        fields = [("Content-Type", "text/event-stream"), *(() if self.keep else (("Connection", "close"),))]
+        head = writer.streamed if self.request.head.chunks else writer.response_until_close
+        self._head = head(200, fields)
+
+    def piece(self, piece: ports.Piece) -> None:
+        """Pass events on."""
+        assert isinstance(piece, ports.Passed)
+        data = writer.chunk(piece.data) if self.request.head.chunks else piece.data
+        if self._head:
+            data, self._head = self._head + data, b""
+        self.connection.write(data)
+
+    def finish(self, final: ports.Final) -> None:
+        """The one final answer."""
+        if self.ended:
+            raise RuntimeError(f"a second final answer ({type(final).__name__} after {self.ended})")
+        self.ended = type(final).__name__.lower()
+        match final:
+            case ports.Served():
+                if self.request.head.chunks:
+                    self.connection.write(writer.LAST_CHUNK)
+            case ports.Broken():
+                self.keep = False  # the connection ends without the last chunk
+            case ports.Refused(after):
+                self.respond(503, "refused: try again", retry_after(after))
+            case ports.Failed(why):
+                self.respond(502, f"failed: {why}")
+            case ports.Rejected(status):
+                self.respond(status, "refused by an engine")
+
+    def respond(self, status: int, text: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
+        """One whole answer."""
+        self.keep = self.keep and not self.connection.last
+        self.connection.write(plain(status, f"{text}\n".encode(), headers, "text/plain; charset=utf-8", keep=self.keep))
--- /dev/null
+++ b/stonetrack/edge/watch.py
@@ -0,0 +1,128 @@
+"""Follows discovery on a thread of its own: one answer in chunks, a JSON object on each line.
+
+A watch that shows nothing for ``SILENT`` seconds, not even an empty line, is dead, however open it looks; it is begun
+anew after the version held.  While discovery is down what is known stays in force.  :meth:`Watch.move` follows another
+address: at once, asking for what was missed.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+
+from stonetrack.engines.pool import connect
+from stonetrack.wire import http1, writer
+from stonetrack.wire.errors import ProtocolError
+
+PATH = "/discovery/hosts"
+SILENT = 5.0  # seconds; an empty line comes every 2
+CONNECT = 1.0
+FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0
+_LIMITS = http1.Limits(head=16_384, headers=64, body=1 << 40)  # a watch lasts for as long as its connection
+_LINE = 4 << 20  # bytes of one document
+
+
+class Watch:
+    """``take`` gets each document and whether it is the first of a connection; ``rev`` tells the version held."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        rev: Callable[[], int],
+        take: Callable[[bytes, bool], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self._address, self._rev, self._take, self._log = address, rev, take, log
+        self._sock: socket.socket | None = None
+        self._lock = threading.Lock()
+        self._nudge = threading.Event()
+        self._stopping = False
+        self._said = ""
+        self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
+
+    def start(self) -> None:
+        """Start following."""
+        self._thread.start()
+
+    def move(self, address: tuple[str, int]) -> None:
+        """Follow another address from now on."""
+        with self._lock:
+            if address == self._address:
+                return
+            self._address = address
+            self._cut()
+
+    def stop(self) -> None:
+        """Stop following."""
+        with self._lock:
+            self._stopping = True
+            self._cut()
+
+    def _cut(self) -> None:
+        self._nudge.set()
+        if self._sock is not None:
+            with contextlib.suppress(OSError):
+                self._sock.shutdown(socket.SHUT_RDWR)
+
+    def _run(self) -> None:
+        pause = FIRST_PAUSE
+        while not self._stopping:
+            self._nudge.clear()
+            try:
+                self._follow()
+                pause = FIRST_PAUSE
+            except (OSError, ProtocolError) as error:
+                if str(error) != self._said:
+                    self._said = str(error)
+                    self._log(f"discovery at {self._address[0]}:{self._address[1]}: {error}")
+            except Exception as error:  # a list must never end the thread that follows it
+                self._log(f"discovery: {type(error).__name__}: {error}")
+            if self._nudge.wait(pause):
+                pause = FIRST_PAUSE
+            pause = min(pause * 2, LONGEST_PAUSE)
+
+    def _follow(self) -> None:
+        """One watch, to its end."""
+        with self._lock:
+            host, port = self._address
+        sock = connect(host, port, CONNECT)
+        with self._lock:
+            if (host, port) != self._address or self._stopping:
+                sock.close()
+                return
+            self._sock = sock
+        try:
+            sock.settimeout(SILENT)
+            after = f"&after={self._rev()}" if self._rev() >= 0 else ""
+            sock.sendall(writer.request("GET", f"{PATH}?watch=1{after}", [("Host", f"{host}:{port}")]))
+            self._read(sock)
+        except TimeoutError:
+            raise ConnectionError(f"nothing for {SILENT:g} s") from None
+        finally:
+            with self._lock:
+                self._sock = None
+            sock.close()
+
+    def _read(self, sock: socket.socket) -> None:
+        reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
+        line, first = bytearray(), True
+        while data := sock.recv(65_536):
+            for event in reader.feed(data):
+                if isinstance(event, http1.ResponseHead) and event.status != 200:
+                    raise ConnectionError(f"it answered {event.status}")
+                if isinstance(event, http1.End):
+                    return
+                if not isinstance(event, http1.Data):
+                    continue
+                line += event.data
+                if len(line) > _LINE:
+                    raise ConnectionError(f"a document over {_LINE} bytes")
+                *whole, rest = line.split(b"\n")
+                line = bytearray(rest)
+                for each in whole:
+                    if each.strip():
+                        self._take(bytes(each), first)
+                        first, self._said = False, ""
+        raise ConnectionError("the watch was closed")
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -5,10 +5,10 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from typing import Protocol
 
 from stonetrack.api import Outcome
 from stonetrack.engines.pool import abort, readable
-from stonetrack.engines.protocol import Exchange
 from stonetrack.node.ports import AttemptEvent, Over
 
 _NOW = int(socket.MSG_DONTWAIT)
@@ -16,10 +16,35 @@
 _SETTLE = 0.005  # seconds waited for the last byte after the answer's end, so that the connection can be kept
 
 
+class Exchange(Protocol):
+    """What reads one answer of an engine, by the protocol that is spoken with it."""
+
+    @property
+    def seen(self) -> bool:
+        """Whether any byte of an answer came."""
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the connection may carry another request."""
+
+    @property
+    def settled(self) -> bool:
+        """Whether the answer's last byte has come, after its outcome was given."""
+
+    def feed(self, data: bytes) -> list[AttemptEvent]:
+        """What these bytes tell."""
+
+    def eof(self) -> list[AttemptEvent]:
+        """The engine has closed."""
+
+    def reset(self, why: str) -> list[AttemptEvent]:
+        """The connection broke."""
+
+
 class SocketAttempt:
-    """See ``ports.Attempt``; used by one thread."""
+    """See ``ports.Attempt``; used by one thread.  ``unsent`` is the outcome where the request did not go out whole."""
 
-    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock")
+    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock", "_unsent")
 
     def __init__(
         self,
@@ -28,12 +53,14 @@
         exchange: Exchange,
         confirm: float,
         give_back: Callable[[socket.socket], None],
+        unsent: Outcome = Outcome.NOT_SENT,
     ) -> None:
         self._sock: socket.socket | None = sock
         self._out = memoryview(request)
         self._exchange = exchange
         self._confirm = confirm
         self._give_back = give_back
+        self._unsent = unsent
 
     def fileno(self) -> int:
         """The socket's descriptor, -1 where the attempt is over."""
@@ -88,7 +115,7 @@
         """The connection is gone.  What the engine can't have taken whole, it can't have run (RFC 9112, 8)."""
         unsent = bool(self._out) and not self._exchange.seen
         self._drop()
-        return [Over(Outcome.NOT_SENT, why)] if unsent else self._exchange.reset(why)
+        return [Over(self._unsent, why)] if unsent else self._exchange.reset(why)
 
     def _settle(self, sock: socket.socket, alive: bool) -> None:
         """After the outcome: keep the connection where its answer is whole, else close it."""
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -55,7 +55,7 @@
         ask: Ask,
         server: str,
         number: int,
-        state: dict[str, Any] | None,
+        state: Any,
         place: bool,
         may_send: Callable[[str], bool],
     ) -> Attempt | Over:
@@ -94,8 +94,8 @@
         """See ``ports.Engines.hold``."""
         self.errands.hold(request, server, number, answer)
 
-    def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
-        """See ``ports.Engines.release``."""
+    def release(self, request: str, reader: str, state: Any, place: str, number: int, rest: bool) -> None:
+        """See ``ports.Engines.release``; these engines let go of each thing by itself."""
         engine = self._engines.get(reader)
         if state is None and (engine is None or engine.kind.role is not api.Role.READER):
             reader = ""
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -48,10 +48,11 @@
 
 
 class Pool:
-    """Idle connections by address, newest used first; bounded for each address and in age."""
+    """Idle connections by address, newest used first; bounded for each address, in all (``most``) and in age."""
 
-    def __init__(self, per_engine: int, idle: float) -> None:
-        self._per_engine, self._idle = per_engine, idle
+    def __init__(self, per_engine: int, idle: float, most: int = 1 << 30) -> None:
+        self._per_engine, self._idle, self._most = per_engine, idle, most
+        self._count = 0
         self._lock = threading.Lock()
         self._kept: dict[tuple[str, int], deque[tuple[socket.socket, float]]] = {}
         self.opened = 0
@@ -63,6 +64,7 @@
             with self._lock:
                 kept = self._kept.get((host, port))
                 sock, since = kept.pop() if kept else (None, 0.0)
+                self._count -= sock is not None
             if sock is None:
                 break
             if time.monotonic() - since <= self._idle and not readable(sock):
@@ -79,8 +81,30 @@
         with self._lock:
             kept = self._kept.setdefault((host, port), deque())
             kept.append((sock, now))
+            self._count += 1
             while kept and (len(kept) > self._per_engine or now - kept[0][1] > self._idle):
                 stale.append(kept.popleft()[0])
+                self._count -= 1
+            if self._count > self._most:  # the longest idle of all goes first
+                oldest = min((each for each in self._kept.values() if each), key=lambda each: each[0][1])
+                stale.append(oldest.popleft()[0])
+                self._count -= 1
+        for each in stale:
+            each.close()
+
+    def kept(self, host: str, port: int) -> int:
+        """Idle connections to an address."""
+        return len(self._kept.get((host, port), ()))
+
+    def prune(self) -> None:
+        """Close what has been idle for too long; to be called now and then."""
+        now = time.monotonic()
+        stale: list[socket.socket] = []
+        with self._lock:
+            for kept in self._kept.values():
+                while kept and now - kept[0][1] > self._idle:
+                    stale.append(kept.popleft()[0])
+                    self._count -= 1
         for each in stale:
             each.close()
 
@@ -89,6 +113,7 @@
         with self._lock:
             gone = [address for address in self._kept if address not in keep]
             stale = [sock for address in gone for sock, _ in self._kept.pop(address)]
+            self._count -= len(stale)
         for each in stale:
             each.close()
 
--- a/stonetrack/engines/protocol.py
+++ b/stonetrack/engines/protocol.py
@@ -27,7 +27,7 @@
 
 from stonetrack.api import Outcome, Role
 from stonetrack.engines import load
-from stonetrack.node.ports import Ask, AttemptEvent, Began, Over, Piece
+from stonetrack.node.ports import Ask, AttemptEvent, Began, Choices, Over
 from stonetrack.wire import http1, sse, writer
 from stonetrack.wire.errors import ProtocolError
 
@@ -216,7 +216,7 @@
                 self.began = True
                 events.append(Began())
             extra = {k: raw[k] for k in _EXTRA if k in raw} if len(raw) > 5 else {}
-            events.append(Piece(choices, usage if type(usage) is dict else None, extra))
+            events.append(Choices(choices, usage if type(usage) is dict else None, extra))
         elif "error" in raw:
             self._end(Outcome.ERROR, events, why=f"the engine's stream told an error: {_message(raw)}")
         else:
--- a/stonetrack/engines/releases.py
+++ b/stonetrack/engines/releases.py
@@ -43,14 +43,15 @@
     def __len__(self) -> int:
         return len(self._items)
 
-    def add(self, item: Item) -> None:
-        """Note a release; it is due at once."""
+    def add(self, item: Item) -> int:
+        """Note a release, due at once; its number."""
         self._count += 1
         self._items[self._count] = item
         heapq.heappush(self._heap, (item.decided, self._count))
         if len(self._items) > self.most:
             self._items.popitem(last=False)
             self.dropped += 1
+        return self._count
 
     def due(self, now: int) -> tuple[int, Item] | None:
         """The next release to try, taken out until :meth:`done` or :meth:`again`."""
--- a/stonetrack/fronts/answers.py
+++ b/stonetrack/fronts/answers.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from stonetrack.node.ports import Piece
+from stonetrack.node.ports import Choices
 
 _encode = msgspec.json.Encoder().encode
 
@@ -26,7 +26,7 @@
         self._roles: set[int] = set()
         self.usage: dict[str, Any] | None = None
 
-    def chunk(self, piece: Piece) -> bytes:
+    def chunk(self, piece: Choices) -> bytes:
         """The JSON of one piece's chunk, empty where it has nothing for the client."""
         if piece.usage is not None:
             self.usage = piece.usage
@@ -70,7 +70,7 @@
         self.usage: dict[str, Any] | None = None
         self.size = 0
 
-    def add(self, piece: Piece) -> None:
+    def add(self, piece: Choices) -> None:
         """Take one piece."""
         if piece.usage is not None:
             self.usage = piece.usage
--- a/stonetrack/fronts/chat.py
+++ b/stonetrack/fronts/chat.py
@@ -107,7 +107,7 @@
 
     chunks: Chunks
 
-    def piece(self, piece: ports.Piece) -> None:
+    def piece(self, piece: ports.Choices) -> None:
         """See ``ports.Sink``."""
         if data := self.chunks.chunk(piece):
             self.event(data)
@@ -123,7 +123,7 @@
 
     whole: Whole
 
-    def piece(self, piece: ports.Piece) -> None:
+    def piece(self, piece: ports.Choices) -> None:
         """See ``ports.Sink``."""
         self.whole.add(piece)
         if self.whole.size > self.most:
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -114,7 +114,7 @@
     @property
     def last(self) -> bool:
         """Whether the instance is about to stop: answers say that the connection closes."""
-        return self.host.draining
+        return self.host.leaving or self.host.draining
 
     @property
     def in_body(self) -> bool:
@@ -196,8 +196,10 @@
         handle: Handler,
         refuse: Callable[[int, str], bytes],
         log: Callable[[str], None],
+        wakers: int = 1 << 30,
     ) -> None:
         self.listener = listener
+        self._most_wakers = wakers  # descriptors to wake requests by; past them these look up by themselves
         self.limits, self.timing = limits, timing
         self._handle, self._refuse, self._log = handle, refuse, log
         self._wire = http1.Limits(head=limits.head_bytes, headers=limits.headers, body=limits.body_bytes)
@@ -213,7 +215,9 @@
         self.connections = 0
         self.refused = 0
         self._held = 0  # bytes of bodies not yet whole
+        self.leaving = False  # accepts still, and says in each answer that the connection closes
         self.draining = False
+        self._wakers = 0  # with descriptors
         self._spare: int | None = None
         self._said = 0.0  # when the log was told of missing descriptors
         self._accepted = threading.Thread(target=self._accept, name="accept", daemon=True)
@@ -228,13 +232,35 @@
         self._accepted.start()
         self._parking.start()
 
-    def drain(self) -> None:
-        """Accept nothing more and close what is idle; requests under way go on."""
+    def leave(self) -> None:
+        """Serve on, and close each connection with its answer: clients go elsewhere, those that come are served."""
+        self.leaving = True
+
+    def drain(self, sweep: bool = False) -> None:
+        """Accept nothing more and close what is idle; requests under way go on.
+
+        ``sweep`` takes what the kernel has accepted by then and closes the listening socket: for a host that has it
+        alone.
+        """
         self.draining = True
         if self._accepted.ident is not None:
             self._accepted.join(2.0)
+        if sweep:
+            with contextlib.suppress(OSError):
+                self.listener.setblocking(False)
+                while True:
+                    self._admit(self.listener.accept()[0])
+            self.listener.close()
         self._back.wake()
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or served, or an answer's last bytes wait for their client."""
+        with self._lock:
+            if self._free < self.workers or self._returning:
+                return True
+        return any(each.begun_at or not each.served for each in list(self._parked.values()))
+
     def stop(self) -> None:
         """Close everything."""
         self.drain()
@@ -264,16 +290,19 @@
                 elif error.errno in (errno.EBADF, errno.EINVAL):
                     return
                 continue
-            if self.connections >= self.limits.connections:
-                self._turn_away(sock, f"all {self.limits.connections} connections are taken")
-                continue
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                if self.limits.socket_send_bytes:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
-            with self._lock:
-                self.connections += 1
-            self._return(Connection(sock, self._wire, self))
+            self._admit(sock)
+
+    def _admit(self, sock: socket.socket) -> None:
+        if self.connections >= self.limits.connections:
+            self._turn_away(sock, f"all {self.limits.connections} connections are taken")
+            return
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.limits.socket_send_bytes:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
+        with self._lock:
+            self.connections += 1
+        self._return(Connection(sock, self._wire, self))
 
     def _accept_spare(self, error: OSError) -> None:
         """Out of descriptors: give up the one in reserve to refuse a client plainly."""
@@ -451,12 +480,16 @@
     # Working.
 
     def _work(self, connection: Connection, request: Request) -> None:
+        with self._lock:
+            own = self._wakers < self._most_wakers
+            self._wakers += own
         try:
-            waker = Waker()
+            waker = Waker(own)
         except OSError as error:
             self._log(f"out of descriptors: {error}")
             with self._lock:
                 self.workers -= 1
+                self._wakers -= own
             self.refused += 1
             self._reject(connection, 503, "no descriptor is free")
             return
@@ -478,6 +511,7 @@
             waker.close()
             with self._lock:
                 self.workers -= 1
+                self._wakers -= own
 
     def _serve(self, connection: Connection, request: Request, waker: Waker) -> None:
         """Run the request, and those that follow at once on the same connection."""
--- a/stonetrack/fronts/kserve.py
+++ b/stonetrack/fronts/kserve.py
@@ -44,7 +44,7 @@
     parameters: Parameters | None = None
 
 
-def _text(piece: ports.Piece) -> str:
+def _text(piece: ports.Choices) -> str:
     parts = []
     for choice in piece.choices:
         delta = choice.get("delta")
@@ -70,7 +70,7 @@
 class GenerateStream(_Body, EventSink):
     """``generate_stream``: an event for each part, the connection's end or the last chunk after the last."""
 
-    def piece(self, piece: ports.Piece) -> None:
+    def piece(self, piece: ports.Choices) -> None:
         """See ``ports.Sink``."""
         self.usage = piece.usage or self.usage
         if text := _text(piece):
@@ -89,7 +89,7 @@
         self.parts: list[str] = []
         self.size = 0
 
-    def piece(self, piece: ports.Piece) -> None:
+    def piece(self, piece: ports.Choices) -> None:
         """See ``ports.Sink``."""
         self.usage = piece.usage or self.usage
         text = _text(piece)
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -1,7 +1,9 @@
 """The thread that runs one request: waits on its sockets, feeds :mod:`.life`, carries out what that says.
 
 A thread waits in one ``poll`` on three descriptors: the client's (leaving, room to write), the attempt's, and its own
-wake-up, written by whoever puts a command into its mailbox.  Sockets are blocking ones, read and written only when
+wake-up, written by whoever puts a command into its mailbox.  Where descriptors are short a waker has none, and its
+thread looks into the mailbox by itself until the answer has begun (from then on nothing is put there that it waits
+for).  Sockets are blocking ones, read and written only when
 ``poll`` says so, and never touched by another thread.
 """
 
@@ -12,8 +14,9 @@
 import select
 from collections import deque
 from dataclasses import dataclass
+from typing import Any
 
-from stonetrack.api import PlaceAnswer
+from stonetrack.api import Action, PlaceAnswer
 from stonetrack.node.core import Core
 from stonetrack.node.life import (
     Abort,
@@ -32,19 +35,22 @@
 
 _LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 MS = 1_000_000
+LOOK_UP = 40 * MS  # a thread without a waker looks into its mailbox so often
 
 
 class Waker:
-    """A descriptor that another thread can make readable; one for each worker thread."""
+    """A descriptor that another thread can make readable, or none; one for each worker thread."""
 
     __slots__ = ("_woken", "fd")
 
-    def __init__(self) -> None:
-        self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC)
+    def __init__(self, descriptor: bool = True) -> None:
+        self.fd = os.eventfd(0, os.EFD_NONBLOCK | os.EFD_CLOEXEC) if descriptor else -1
         self._woken = False
 
     def wake(self) -> None:
         """Make it readable."""
+        if self.fd < 0:
+            return
         self._woken = True
         os.eventfd_write(self.fd, 1)
 
@@ -58,7 +64,8 @@
 
     def close(self) -> None:
         """Give the descriptor back."""
-        os.close(self.fd)
+        if self.fd >= 0:
+            os.close(self.fd)
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,6 +85,7 @@
         self.life = Life(ask, bounds.stream_silence, core.clock())
         self.attempt: Attempt | None = None
         self.late: deque[Over] = deque()  # outcomes of attempts that ended at once
+        self.commands: deque[Action] = deque()
         self.progress = 0  # when the client last took a byte
 
     def run(self) -> Life:
@@ -85,6 +93,7 @@
         core, life = self.core, self.life
         self.waker.clear()
         ticket = core.arrive(life.ask, self.waker.wake)
+        self.commands = ticket.commands
         self.progress = core.clock()
         try:
             while True:
@@ -110,7 +119,8 @@
     def _wait(self) -> None:
         life, attempt, sink = self.life, self.attempt, self.sink
         poller = select.poll()
-        poller.register(self.waker.fd, select.POLLIN)
+        if self.waker.fd >= 0:
+            poller.register(self.waker.fd, select.POLLIN)
         client = -1 if life.gone else sink.fileno()
         if client >= 0:
             poller.register(client, select.POLLRDHUP | (select.POLLOUT if sink.pending else 0))
@@ -124,7 +134,7 @@
             now = self.core.clock()
             ready = poller.poll(self._timeout(now))
             now = self.core.clock()
-            woken = False
+            woken = self.waker.fd < 0 and bool(self.commands)
             for fd, mask in ready:
                 if fd == client:
                     self._client(mask, now)
@@ -149,10 +159,13 @@
 
     def _timeout(self, now: int) -> float | None:
         """Milliseconds until something is due."""
-        dues = [self.life.due()] if not self._blocked() else []
+        life = self.life
+        dues = [life.due()] if not self._blocked() else []
         if self.sink.pending and not self.life.gone:
             dues.append(self.progress + self.bounds.client_stall)
         dues = [due for due in dues if due]
+        if self.waker.fd < 0 and life.stage is not Stage.STREAMING:
+            dues.append(now + LOOK_UP)
         return max(0.0, (min(dues) - now) / MS + 1.0) if dues else None
 
     def _blocked(self) -> bool:
@@ -186,7 +199,7 @@
             self._flush(now)
 
     def _event(self, event: AttemptEvent, now: int) -> None:
-        if type(event) is Piece and self.life.streams(now):
+        if isinstance(event, Piece) and self.life.streams(now):
             self._give(event)
             return
         if isinstance(event, Over):
@@ -234,8 +247,8 @@
                         self.life.gone = True
                 case Hold(server):
                     self._hold(server)
-                case LetGo(reader, state, place, number):
-                    self.engines.release(self.life.ask.request, reader, state, place, number)
+                case LetGo(reader, state, place, number, rest):
+                    self.engines.release(self.life.ask.request, reader, state, place, number, rest)
 
     def _give(self, what: Piece | Began) -> None:
         if self.life.gone:
@@ -252,7 +265,7 @@
         if not had:
             self.progress = self.core.clock()
 
-    def _start(self, server: str, number: int, state: dict | None, place: bool) -> None:  # type: ignore[type-arg]
+    def _start(self, server: str, number: int, state: Any, place: bool) -> None:
         started = self.engines.start(self.life.ask, server, number, state, place, self.core.may_send)
         if isinstance(started, Over):
             self.late.append(started)
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -43,7 +43,7 @@
 
     server: str
     number: int
-    state: dict[str, Any] | None
+    state: Any
     place: bool
     limit: int
 
@@ -90,13 +90,15 @@
 class LetGo:
     """Release a state at a reader and a place at a writer (empty where there is none).
 
-    ``number`` is the last attempt that it is for: what a later attempt brings about stays.
+    ``number`` is the last attempt that it is for: what a later attempt brings about stays.  ``rest`` tells that a
+    state at a reader stays held for the request.
     """
 
     reader: str
-    state: dict[str, Any] | None
+    state: Any
     place: str
     number: int
+    rest: bool = False
 
 
 Effect = Start | Abort | Tell | Begin | Deliver | Finish | Hold | LetGo
@@ -153,7 +155,7 @@
         self.silence = silence  # longest pause within a stream
         self.silent_at = 0  # when a stream is silent for too long
         self.reader = ""
-        self.state: dict[str, Any] | None = None
+        self.state: Any = None
         self.place = ""
         self.timed_out = False  # the last attempt ran out of time: a failure is then a late one
         self._last_why = ""
@@ -223,7 +225,7 @@
 
     def _let_go_place(self) -> list[Effect]:
         place, self.place = self.place, ""
-        return [LetGo("", None, place, self.number)]
+        return [LetGo("", None, place, self.number, rest=bool(self.reader))]
 
     # What happened.
 
@@ -267,7 +269,7 @@
             effects += self._let_go_place()
         if outcome in _UNCERTAIN and not streamed and self.server != self.reader:
             # It may have been read and the answer lost: a state would wait there that nobody knows of.
-            effects.append(LetGo(self.server, None, "", self.number))
+            effects.append(LetGo(self.server, None, "", self.number, rest=bool(self.reader)))
         effects.append(
             Tell(
                 api.AttemptEnded(
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -19,7 +19,7 @@
 class Ask:
     """One request as a front hands it over.
 
-    ``body`` is the request in the engines' own form (chat completions); the node never looks into it.
+    ``body`` is the request in the form that its front and its engines' side agree on; the node never looks into it.
     ``time_left`` is how long the client waits for a first token, margin for the answer's way already off.
     """
 
@@ -28,7 +28,7 @@
     session: str
     time_left: int
     prompt_tokens: int
-    body: dict[str, Any]
+    body: Any
     shared_beginning: str | None = None
     shared_tokens: int = 0
     max_answer_tokens: int = 0
@@ -55,21 +55,34 @@
     """The answer has begun."""
 
 
-@dataclass(slots=True)
 class Piece:
-    """A part of the answer: the choices as the engine sent them (index, delta, finish_reason, …) and the rest."""
+    """A part of the answer, in the form that its engines' side and its front agree on; opaque to the node."""
+
+    __slots__ = ()
+
+
+@dataclass(slots=True)
+class Choices(Piece):
+    """A part of a chat: the choices as the engine sent them (index, delta, finish_reason, …) and the rest."""
 
     choices: list[dict[str, Any]]
     usage: dict[str, Any] | None = None
     extra: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Passed(Piece):
+    """A part of a stream that is passed on unchanged: whole events as bytes."""
+
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Over:
     """The attempt's one outcome.
 
-    ``state`` is what a reader returned for the writer; ``rejection`` an engine's own answer that the request
-    itself is at fault (status, error object), which is handed on as it is.
+    ``state`` is what a reader returned for the writer, opaque to the node; ``rejection`` an engine's own answer
+    that the request itself is at fault (status, error object), which is handed on as it is.
     """
 
     outcome: Outcome
@@ -77,7 +90,7 @@
     kept_tokens: int = 0
     state_missing: bool = False
     report: LoadReport | None = None
-    state: dict[str, Any] | None = None
+    state: Any = None
     rejection: tuple[int, dict[str, Any]] | None = None
 
 
@@ -181,7 +194,7 @@
         ask: Ask,
         server: str,
         number: int,
-        state: dict[str, Any] | None,
+        state: Any,
         place: bool,
         may_send: Callable[[str], bool],
     ) -> Attempt | Over:
@@ -194,10 +207,11 @@
         """Ask a writer for a place, in the background, during attempt ``number``; ``answer`` gets whether it holds
         one.  A place that comes after the request went on is let go of by the engines' side itself."""
 
-    def release(self, request: str, reader: str, state: dict[str, Any] | None, place: str, number: int) -> None:
+    def release(self, request: str, reader: str, state: Any, place: str, number: int, rest: bool) -> None:
         """Let go of a state and a place, in the background, with repeats within the time allowed.
 
-        What attempts after ``number`` brought about stays.  An engine that holds no states is not called.
+        What attempts after ``number`` brought about stays.  An engine that holds no states is not called.  With
+        ``rest`` a state stays held for the request elsewhere: where engines let go of all or nothing, nothing is.
         """
 
     def probe(self, server: str) -> None:
--- a/stonetrack/settings/load.py
+++ b/stonetrack/settings/load.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 import msgspec
-import rjsonnet
 
 from stonetrack.settings.check import Problem, SettingsError, problems
 from stonetrack.settings.schema import Node
@@ -20,6 +19,8 @@
     try:
         if path.suffix == ".json":
             return path.read_text("utf-8")
+        import rjsonnet  # here: a node that is told its settings as JSON has no need of it
+
         return str(
             rjsonnet.evaluate_file(str(path), jpathdir=[str(LIBRARY), str(path.parent)], ext_vars=dict(variables or {}))
         )
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,236 @@
+"""The platform's protocol without sockets: configuration, heads, answers, lists, shares."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from stonetrack import api
+from stonetrack.edge import asks, budget, config, exchange, hosts
+from stonetrack.node.ports import Began, Over, Passed
+from stonetrack.wire import http1
+
+LIMITS = http1.Limits(head=16_384, headers=64, body=1 << 20)
+READER, WRITER = api.Role.READER, api.Role.WRITER
+SETTINGS: dict[str, Any] = {
+    "me": 1,
+    "balancers": 2,
+    "zone": 1,
+    "zones": ["a", "b"],
+    "kinds": ["prefill", "decode"],
+    "bounds": {"max_attempts": 4, "cancel": True, "probing": True, "retry_after": True, "conn_idle_ns": 30_000_000_000,
+               "max_retry_after_ns": 500_000_000, "connect_timeout_ns": 250_000_000},
+    "family_info": {"role_by_kind": ["read", "write"], "kv_tokens": [270_601, 144_079], "may_reserve": True,
+                    "aim_us_per_1000_prompt_tokens": [40000.0, 40000.0], "token_aim_ns": [60, 80],
+                    "report_x0": "share of memory that is held", "release_within_ns": 500_000_000,
+                    "report_x1": "thousands of prompt tokens waiting to be read or fetched"},
+    "report": {"source": "inline", "fields": ["inflight", "x0"]},
+    "request_classes": [{"name": "chat", "aim_ns": 1_500, "hard_limit_ns": 6_000, "worth": 1.0},
+                        {"name": "plan", "aim_ns": 2_500, "hard_limit_ns": 9_000, "worth": 3.0, "nobody": {"x": 1}}],
+    "tenants": [],
+    "unknown": {"to": ["us"]},
+}  # fmt: skip
+
+
+def document(**more: Any) -> bytes:
+    return json.dumps({
+        "name": "n3", "listen": "127.0.0.1:5000", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256}, "known": {"rev": 4, "all": True, "targets": []},
+        "settings": SETTINGS, **more}).encode()  # fmt: skip
+
+
+def test_the_settings_are_read_by_the_simulators_own_reader() -> None:
+    told = config.parse(document())
+    assert [c.name for c in told.settings.classes] == ["chat", "plan"] and told.settings.classes[1].worth == 3.0
+    assert told.settings.classes[0].aim_per_1000_tokens == 40_000_000
+    assert [k.role for k in told.settings.kinds] == [READER, WRITER] and told.settings.kinds[1].memory_tokens == 144_079
+    assert told.settings.may_hold_place and told.settings.report_source is api.ReportSource.ANSWERS
+    assert (told.settings.router, told.settings.routers, told.settings.zone) == (1, 2, 1)
+    assert told.connection_idle == 30_000_000_000 and told.zones == ("a", "b") and told.seed == 0x8C1F30D27A5BE964
+    assert told.pairs["family_info.report_x0"] == "share_of_memory_that_is_held"
+    assert json.loads(told.known) == {"rev": 4, "all": True, "targets": []}
+
+
+@pytest.mark.parametrize(("more", "said"), [
+    ({"listen": "nowhere"}, "$.listen"), ({"discovery": "h:99999"}, "$.discovery"), ({"seed": "xyz"}, "$.seed"),
+    ({"limits": {"sockets": 3}}, "$.limits.sockets"), ({"limits": {"sockets": "many"}}, "$.limits.sockets"),
+    ({"settings": {}}, "$.settings"), ({"settings": None}, "$.settings"),
+])  # fmt: skip
+def test_a_bad_configuration_names_its_path(more: dict[str, Any], said: str) -> None:
+    with pytest.raises(config.ConfigError, match="^" + said.replace("$", r"\$").replace(".", r"\.")):
+        config.parse(document(**more))
+
+
+GOOD = {"X-Correlation-Id": "9b1f03aa5c7e2d41", "X-Service-Class": "plan", "X-Session-Key": "7f",
+        "X-Time-Left": "4800m", "X-Facts": "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800"}  # fmt: skip
+
+
+def head(**changes: str | None) -> http1.RequestHead:
+    fields = {**GOOD, **{name.replace("_", "-"): value for name, value in changes.items()}}
+    items = [(name.lower(), value) for name, value in fields.items() if value is not None]
+    return http1.RequestHead("POST", asks.CHAT, http1.Headers(items), True, 3)
+
+
+def test_a_head_becomes_an_ask() -> None:
+    made = asks.ask(head(X_Repeat="1"), b"{}", {"chat": 0, "plan": 1}, 100_000_000, 7_000_000_000)
+    assert (made.request, made.class_index, made.session) == ("9b1f03aa5c7e2d41", 1, "7f")
+    assert made.time_left == 4_700_000_000 - asks.MARGIN and made.body.deadline == 11_700_000_000
+    assert (made.prompt_tokens, made.shared_beginning, made.shared_tokens) == (5120, "5c0f", 2048)
+    assert made.max_answer_tokens == 800 and made.repeated
+    plain = asks.ask(head(X_Facts=None), b"x" * 400, {"plan": 1}, 0, 0)
+    assert plain.prompt_tokens == 100 and plain.shared_beginning is None and not plain.repeated
+    assert asks.time_left("1500u") == 1_500_000
+
+
+@pytest.mark.parametrize("changes", [
+    {"X_Correlation_Id": None}, {"X_Correlation_Id": "a/b"}, {"X_Correlation_Id": "x" * 129}, {"X_Service_Class": None},
+    {"X_Service_Class": "nobody"}, {"X_Time_Left": None}, {"X_Time_Left": "soon"}, {"X_Time_Left": "-5m"},
+    {"X_Time_Left": "0m"}, {"X_Time_Left": "5"}, {"X_Time_Left": "nanm"}, {"X_Facts": "prompt_len"},
+    {"X_Facts": "prompt_len=-1"}, {"X_Facts": "prompt_len=1,prompt_len=2"},
+])  # fmt: skip
+def test_a_bad_head_is_refused(changes: dict[str, str | None]) -> None:
+    with pytest.raises(asks.BadAsk):
+        asks.ask(head(**changes), b"{}", {"plan": 0}, 0, 0)
+
+
+def test_a_header_that_stands_twice_is_refused() -> None:
+    twice = http1.Headers([*head().headers, ("x-correlation-id", "another")])
+    with pytest.raises(asks.BadAsk, match="twice|2 times"):
+        asks.ask(http1.RequestHead("POST", asks.CHAT, twice, True, 2), b"{}", {"plan": 0}, 0, 0)
+
+
+EVENTS = [
+    b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n',
+    b'data: {"choices":[],"usage":{"prompt_tokens":5,"prompt_tokens_details":{"cached_tokens":4096}}}\n\n',
+    b"data: [DONE]\n\n: X-Backend-Load: TEXT inflight=7, queue=2\n\n",
+]
+STREAM = (b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + b"".join(b"%x\r\n%b\r\n" % (len(e), e) for e in EVENTS) + b"0\r\n\r\n")  # fmt: skip
+
+
+def reply(status: int, body: bytes = b"", extra: bytes = b"") -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n%b\r\n%b" % (status, len(body), extra, body)
+
+
+def report(pairs: str) -> api.LoadReport:
+    values = dict(part.split(":") for part in pairs.split(","))
+    return api.LoadReport(in_flight=float(values["inflight"]))
+
+
+def fed(data: bytes, step: int, role: api.Role = WRITER, close: bool = False) -> tuple[list[Any], exchange.Exchange]:
+    made = exchange.Exchange(role, LIMITS, report)
+    events: list[Any] = []
+    for at in range(0, len(data), step):
+        events += made.feed(data[at : at + step])
+    return events + (made.eof() if close else []), made
+
+
+@given(st.integers(1, len(STREAM)))
+def test_a_stream_passes_unchanged_in_pieces_of_any_size(step: int) -> None:
+    events, made = fed(STREAM, step)
+    assert isinstance(events[0], Began) and isinstance(events[-1], Over)
+    assert b"".join(e.data for e in events if isinstance(e, Passed)) == b"".join(EVENTS)
+    assert events[-1].outcome is api.Outcome.SERVED and events[-1].kept_tokens == 4096
+    assert events[-1].report == api.LoadReport(in_flight=7.0)
+    assert made.reusable and made.settled
+
+
+@pytest.mark.parametrize(("role", "data", "outcome", "missing"), [
+    (READER, reply(202, b'{"cached_tokens":4096}'), api.Outcome.READ, False),
+    (READER, reply(202, b"noise"), api.Outcome.READ, False),
+    (WRITER, reply(410, extra=b"X-Unprocessed: 1\r\n"), api.Outcome.FULL, True),
+    (WRITER, reply(503, extra=b"X-Unprocessed: 1\r\n"), api.Outcome.FULL, False),
+    (READER, reply(504, extra=b"X-Unprocessed: 1\r\n"), api.Outcome.FULL, False),
+    (WRITER, reply(503), api.Outcome.ERROR, False), (WRITER, reply(410), api.Outcome.ERROR, False),
+    (WRITER, reply(500), api.Outcome.ERROR, False), (WRITER, reply(202), api.Outcome.ERROR, False),
+    (WRITER, reply(404), api.Outcome.ERROR, False), (WRITER, reply(200), api.Outcome.ERROR, False),
+    (WRITER, b"\x00noise\r\n\r\n", api.Outcome.RESET, False), (WRITER, STREAM[:90], api.Outcome.RESET, False),
+    (WRITER, b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000, api.Outcome.RESET, False),
+    (WRITER, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nC0000000\r\n", api.Outcome.RESET, False),
+])  # fmt: skip
+@pytest.mark.parametrize("step", [1, 7, 1 << 20])
+def test_outcomes(role: api.Role, data: bytes, outcome: api.Outcome, missing: bool, step: int) -> None:
+    events, _ = fed(data, step, role, close=True)
+    assert len(events) == 1 and isinstance(events[0], Over)
+    assert events[0].outcome is outcome and events[0].state_missing is missing
+    assert events[0].kept_tokens == (4096 if b"4096" in data else 0)
+
+
+@pytest.mark.parametrize("step", [1, 50, 1 << 20])
+def test_a_stream_spoilt_before_its_first_event_never_began_and_later_has_broken(step: int) -> None:
+    opening = STREAM.index(b"data:")
+    spoilt, _ = fed(STREAM[:opening] + STREAM[opening : opening + 30] + b"\xff" * 200, step)
+    assert not any(isinstance(e, Began) for e in spoilt[:-1]) or spoilt[-1].outcome is api.Outcome.RESET
+    second = STREAM.index(b"\r\n", STREAM.index(EVENTS[0]) + len(EVENTS[0])) + 2
+    later, made = fed(STREAM[:second] + b"zz\r\nnoise", step)
+    assert later[-1].outcome is api.Outcome.RESET and not made.reusable
+
+
+@pytest.mark.parametrize("step", [1, 1 << 20])
+def test_what_comes_ahead_is_passed_over_and_what_comes_behind_harms_the_connection_only(step: int) -> None:
+    ahead = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 3
+    events, made = fed(ahead + STREAM + reply(200, b"again"), step)
+    assert events[-1].outcome is api.Outcome.SERVED
+    assert not (made.reusable and made.settled)
+    endless, _ = fed(b"HTTP/1.1 100 Continue\r\n\r\n" * 50, step)
+    assert endless[-1].outcome is api.Outcome.RESET
+
+
+@pytest.mark.parametrize("text", ["", "JSON {}", "TEXT inflight", "TEXT inflight=nan", "TEXT inflight=-1", "TEXT a b=1",
+                                  "TEXT inflight=1e999999", "TEXT ,"])  # fmt: skip
+def test_a_load_report_that_cannot_be_read_is_none(text: str) -> None:
+    assert exchange.report_pairs(text) == ""
+
+
+def test_a_load_report_in_the_simulators_words() -> None:
+    assert exchange.report_pairs("TEXT inflight=7, queue=2, x0=0.61") == "inflight:7,queue:2,x0:0.61"
+
+
+def target(uid: str, **more: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": "127.0.0.9:5000", "az": "a", "model": "prefill", "pod_group": 3, "state": "SERVING",
+            "capacity_hint": 1.0, "boot_ms": 0, **more}  # fmt: skip
+
+
+def listing(rev: int, *targets: dict[str, Any], whole: bool = False) -> bytes:
+    return json.dumps({"rev": rev, "all": whole, "targets": targets}).encode()
+
+
+def held() -> hosts.Hosts:
+    return hosts.Hosts(("prefill", "decode"), ("a", "b"), (READER, WRITER))
+
+
+def test_lists_and_changes_by_version() -> None:
+    made = held()
+    first = made.take(listing(4, target("s1"), target("s2", model="decode", az="b"), whole=True), known=True)
+    assert first is not None and first.kind is api.ListKind.SAVED and first.version == 4
+    assert [(e.zone, e.kind, e.cell) for e in first.entries] == [(0, 0, 3), (1, 1, 3)]
+    change = made.take(listing(6, target("s1", state="DRAINING", boot_ms=1_700_000_000_000)))
+    assert change is not None and change.kind is api.ListKind.CHANGES
+    assert change.entries[0].state is api.ServerState.DRAINING and change.entries[0].started == 1_700_000_000 * 10**9
+    assert not made.engines["s1"].up
+    assert made.take(listing(5, target("s1"))) is None and not made.engines["s1"].up  # older: passed over
+    gone = made.take(listing(7, {"uid": "s1", "state": "DELETED"}))
+    assert gone is not None and gone.entries[0].state is api.ServerState.REMOVED and list(made.engines) == ["s2"]
+    whole = made.take(listing(3, target("s9"), whole=True), fresh=True)
+    assert whole is not None and whole.kind is api.ListKind.FULL and list(made.engines) == ["s9"] and made.rev == 3
+
+
+def test_what_cannot_be_used_is_named_and_takes_nothing_along() -> None:
+    made = held()
+    event = made.take(listing(1, target("s1", model="m9"), target("s2", endpoint="x"), target("s3"), whole=True))
+    assert event is not None and [e.server for e in event.entries] == ["s3"] and len(made.passed_over) == 2
+    for data in (b"{", b"[]", b'{"rev":"x"}', b"\xff", b"[" * 100_000):
+        with pytest.raises(hosts.HostsError):
+            made.take(data)
+    assert list(made.engines) == ["s3"]
+
+
+@given(st.integers(64, 4096), st.floats(32, 2048))
+def test_the_shares_never_add_up_to_more_than_there_is(sockets: int, memory: float) -> None:
+    shares = budget.divide(sockets, memory)
+    assert min(shares.clients, shares.requests, shares.wakers, shares.kept) >= 1
+    assert shares.clients + shares.requests + shares.wakers + shares.kept <= sockets - budget.FIXED - budget.CALLS
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -21,9 +21,10 @@
     "manage": {"settings"},
     "capture": {"logic", "background"},
     "daemon": {"background", "capture", "fronts", "engines", "node", "wire", "settings", "logic"},
+    "edge": {"fronts", "engines", "node", "wire", "settings", "logic", "drill"},
     "standin": {"engines", "wire"},
     "day": {"standin", "engines", "wire", "settings"},
-    "cli": {"background", "capture", "day", "standin", "daemon", "fronts", "engines", "settings"},
+    "cli": {"background", "capture", "day", "standin", "daemon", "edge", "fronts", "engines", "settings"},
 }
 IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
 PURE = [
@@ -33,7 +34,7 @@
     "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
     "capture/journal.py", "manage/framing.py", "manage/datastore.py", "manage/yang.py", "manage/model.py",
-    "manage/messages.py",
+    "manage/messages.py", "edge/config.py", "edge/asks.py", "edge/exchange.py", "edge/hosts.py", "edge/budget.py",
     "background/wheel.py", "background/plan.py", "logic.py", "api.py",
 ]  # fmt: skip
 BANNED = {"asyncio", "socketserver", "http", "urllib", "xmlrpc", "requests", "httpx", "h11", "h2", "grpc"}
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -69,7 +69,7 @@
                     self.finals.append(final)
                 case Hold(server):
                     self.held["place", server] = self.now
-                case LetGo(reader, _, place, _):
+                case LetGo(reader, _, place):
                     self.held.pop(("state", reader), None)
                     self.held.pop(("place", place), None)
                 case Deliver():
@@ -97,7 +97,7 @@
             self.held.clear()  # with the first token all goes by itself
             self.do(life.attempt(ports.Began(), self.now))
             if life.stage is Stage.STREAMING:
-                self.do(life.attempt(ports.Piece([]), self.now))
+                self.do(life.attempt(ports.Choices([]), self.now))
                 self.over(api.Outcome.RESET if way == "break" else api.Outcome.SERVED)
         elif way == "serve":
             self.out = "read"
@@ -166,7 +166,7 @@
     world.drain()
     life = world.life
     world.do(life.command(api.Cancel("q", 0), world.now))
-    assert life.attempt(ports.Began(), world.now) == [] and life.attempt(ports.Piece([]), world.now) == []
+    assert life.attempt(ports.Began(), world.now) == [] and life.attempt(ports.Choices([]), world.now) == []
     assert not world.began
 
 
@@ -207,11 +207,12 @@
         return life
 
     elsewhere = held().command(api.Send("q", "w1", SECOND), 2)
-    assert elsewhere[0] == LetGo("", None, "w0", 1) and isinstance(elsewhere[1], Start) and not elsewhere[1].place
+    assert elsewhere[0] == LetGo("", None, "w0", 1, rest=True)
+    assert isinstance(elsewhere[1], Start) and not elsewhere[1].place
     life = held()
     (start,) = life.command(api.Send("q", "w0", SECOND), 2)
     assert isinstance(start, Start) and start.place and start.state == {"a": 1}
-    assert LetGo("", None, "w0", 1) in life.attempt(ports.Over(api.Outcome.FULL), 3)
+    assert LetGo("", None, "w0", 1, rest=True) in life.attempt(ports.Over(api.Outcome.FULL), 3)
     life = held()
     life.command(api.Send("q", "w0", SECOND), 2)
     assert not any(isinstance(e, LetGo) for e in life.attempt(ports.Began(), 3))
