A node that was stopped for a while serves on; silent clients make room

At fault: serve.py's main loop. CPython 3.11's sigtimedwait, interrupted past its time-out (a stopped process), returns a record that nobody filled in, and the loop took any number but HUP for TERM. A record with another number than ours is now no signal. A test stops and continues the program; without the fix it ends.

Seen in a test of 400 silent clients: usual ones were refused once the connections were used up. At fault: host.py, which had no way to tell nobody's connections from clients'. Now what never said a word, what was answered for the last time, what is slow within a request and then idle ones make room, oldest first.

--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import queue
 import socket
 import threading
@@ -106,6 +107,15 @@
         for thread in self._threads:
             thread.start()
 
+    def stop(self) -> None:
+        """Stop the threads; what is open stays so."""
+        with self._book_lock:
+            self._stopping = True
+            self._book_lock.notify_all()
+        for _ in self._threads:
+            with contextlib.suppress(queue.Full):
+                self._jobs.put_nowait(None)
+
     def list_changed(self, engines: dict[str, Engine]) -> None:
         """Take a new list."""
         self._engines = engines
@@ -221,6 +231,8 @@
         while True:
             with self._book_lock:
                 while (found := self._book.due(self._clock())) is None:
+                    if self._stopping:
+                        return
                     at = self._book.next_at()
                     self._book_lock.wait(None if at is None else max(0.001, (at - self._clock()) / SECOND))
             number, item = found
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -129,6 +129,14 @@
         self.watch.start()
         self.host.start()
 
+    def stop(self) -> None:
+        """End everything at once."""
+        self.watch.stop()
+        self.host.stop()
+        self.core.stop()
+        self.leases.stop()
+        self.pool.close()
+
     # Requests.
 
     def handle(self, connection: Connection, request: Request, waker: Waker) -> bool:
@@ -207,7 +215,8 @@
     log(f"serving as {node.config.name} on {node.config.listen[0]}:{node.config.listen[1]}")
     while True:
         got = signal.sigtimedwait(SIGNALS, 1.0)
-        if got is None:
+        # A process that was stopped beyond the time-out gets a record that nobody filled in (CPython 3.11: EINTR).
+        if got is None or got.si_signo not in SIGNALS:
             node.tend()
         elif got.si_signo == signal.SIGHUP:
             node.reload(path)
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -7,14 +7,17 @@
 - A worker thread runs each whole request to its end.  There are as many as run now, up to a bound; they stay for a
   while.  When there is none to be had the client is told so (503), at once, by the parking thread.
 
-Bounds: connections, workers, bytes of bodies not yet whole (in all), time for a head and a body, idle time.  Out of
-descriptors: one is kept in reserve, and given up to accept a client and refuse it plainly.
+Bounds: connections, workers, bytes of bodies not yet whole (in all), time for a head and a body, idle time.  When
+connections run short, those go that nobody will miss, oldest first (:meth:`Host._make_room`), so that silent clients by
+hundreds keep nobody out.  Out of descriptors: one is kept in reserve, and given up to accept a client and refuse it
+plainly.
 """
 
 from __future__ import annotations
 
 import contextlib
 import errno
+import itertools
 import os
 import queue
 import select
@@ -40,6 +43,10 @@
 _LOOK_UP = struct.pack("ll", 0, 200_000)  # the acceptor looks up so often: seconds, microseconds
 _LINGER_CLOSE = 2_000_000_000  # nanoseconds for a client to read a last answer while it still sends
 _FRESH = 1_000_000_000  # nanoseconds in which a new connection's first request is waited for while draining
+_CROWDED = 7 / 8  # share of the connections from which room is made
+_SILENT, _SLOW = 50_000_000, 500_000_000  # nanoseconds without a byte, or within a request, that count as nobody's
+_LOOKED_AT = 256  # oldest connections looked at each time
+_ROOM = 20  # times 5 ms that a new client waits for room
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -262,7 +269,7 @@
         return any(each.begun_at or not each.served for each in list(self._parked.values()))
 
     def stop(self) -> None:
-        """Close everything."""
+        """Close everything but the listening socket."""
         self.drain()
         self._done.set()
         self._back.wake()
@@ -293,7 +300,12 @@
             self._admit(sock)
 
     def _admit(self, sock: socket.socket) -> None:
-        if self.connections >= self.limits.connections:
+        for _ in range(_ROOM):
+            if self.connections < self.limits.connections:
+                break
+            self._back.wake()
+            time.sleep(0.005)
+        else:
             self._turn_away(sock, f"all {self.limits.connections} connections are taken")
             return
         with contextlib.suppress(OSError):
@@ -344,6 +356,8 @@
                         self._readable(connection)
                 while self._returning:
                     self._enter(self._returning.popleft())
+                if self.connections >= _CROWDED * self.limits.connections:
+                    self._make_room()
                 if time.monotonic() - looked > 0.25:
                     looked = time.monotonic()
                     self._overdue()
@@ -362,6 +376,27 @@
         if self.draining and connection.served and connection.reader.idle and not connection.lingers_until:
             self._close(connection)
 
+    def _make_room(self) -> None:
+        """Close what is parked and nobody will miss, oldest first: what never said a word, what was answered for the
+        last time, what is slow within a request, and then what is idle between two.
+
+        A word that has come and was not read yet is read first.
+        """
+        now = time.monotonic_ns()
+        oldest = list(itertools.islice(self._parked.values(), _LOOKED_AT))
+        silent = [c for c in oldest if not c.served and not c.begun_at and now - c.parked_at > _SILENT]
+        over = [c for c in oldest if c.lingers_until]
+        slow = [c for c in oldest if c.begun_at and not c.lingers_until and now - c.begun_at > _SLOW]
+        idle = [c for c in oldest if c.served and not c.begun_at and now - c.parked_at > _SILENT]
+        for connection in (*silent, *over, *slow, *idle):
+            if self.connections < _CROWDED * self.limits.connections:
+                return
+            if not connection.lingers_until and readable(connection.sock):
+                self._readable(connection)
+            if not connection.closed and self._parked.get(connection.fileno()) is connection:
+                self._held -= connection.held
+                self._close(connection)
+
     def _leave(self, connection: Connection) -> None:
         if self._parked.pop(connection.fileno(), None) is not None:
             with contextlib.suppress(OSError):
@@ -557,6 +592,13 @@
         return bool(poller.poll(_LINGER_MS))
 
 
+def readable(sock: socket.socket) -> bool:
+    """Whether bytes, an end or an error wait there."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def listen(host: str, port: int, backlog: int) -> socket.socket:
     """A listening socket.  Raises OSError."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
--- /dev/null
+++ b/tests/test_edge_serving.py
@@ -0,0 +1,270 @@
+"""The node among engines, discovery and clients that speak the platform's protocol, on sockets."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from stonetrack.edge.serve import EdgeNode
+from tests.platform import Platform, ask, headers, node, platform, program
+from tests.rig import Client, wait_for
+
+
+def at_rest(made: EdgeNode) -> bool:
+    """Whether nothing is counted as out, waiting or held."""
+    router = made.core.router
+    servers = router.servers.values()  # type: ignore[attr-defined]
+    return not (
+        router.requests  # type: ignore[attr-defined]
+        or any(s.waiting or s.streams or s.states or s.work_out for s in servers)
+        or made.core.open_requests
+        or made.leases.open
+    )
+
+
+def test_a_request_is_read_and_written_and_nothing_stays_held() -> None:
+    with platform() as world, node(world) as made:
+        client = Client(world.listen)
+        for n in range(20):
+            head, body = ask(client, f"q{n}")
+            assert head.status == 200 and body.count(b"data: ") == world.events + 2 and b"[DONE]" in body
+            assert [what for what, _ in world.which(f"q{n}") if what != "place"] == ["read", "write"]
+            assert world.bodies[f"q{n}"] == b'{"model":"chat"}' and 0 < int(world.left[f"q{n}"][:-1]) <= 3000
+        client.close()
+        assert wait_for(lambda: at_rest(made)) and not world.held and world.most_out == 1
+        assert made.core.router.servers["r0"].report is not None  # type: ignore[attr-defined]
+
+
+def test_a_bad_request_gets_an_error_and_the_next_is_served() -> None:
+    with platform() as world, node(world):
+        client = Client(world.listen)
+        for changes in ({"X_Service_Class": "nobody"}, {"X_Time_Left": "soon"}, {"X_Correlation_Id": "a b"}):
+            assert ask(client, "q", **changes)[0].status == 400
+        client.ask(b"", "/nowhere", "GET")
+        assert client.answer()[0].status == 404
+        assert ask(client, "q")[0].status == 200
+        both = Client(world.listen)
+        both.send(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 40\r\n"
+                  b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST /v1/chat/completions HTTP/1.1\r\n\r\n")  # fmt: skip
+        assert both.answer()[0].status == 400
+        huge = Client(world.listen)
+        huge.send(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 62914560\r\n\r\n")
+        assert huge.answer()[0].status == 413
+        assert [what for _, what, _, _ in world.seen].count("read") == 1
+
+
+def test_an_id_that_is_open_is_refused_and_the_open_request_goes_on() -> None:
+    with platform() as world, node(world):
+        world.pause = 0.05
+        first, second = Client(world.listen), Client(world.listen)
+        answers: list[int] = []
+        thread = threading.Thread(target=lambda: answers.append(ask(first, "same")[0].status))
+        thread.start()
+        assert wait_for(lambda: ("read", "r0") in world.which("same") or ("read", "r1") in world.which("same"))
+        assert ask(second, "same")[0].status == 409
+        thread.join(5.0)
+        assert answers == [200] and world.most_out == 1
+        assert ask(second, "same")[0].status == 200  # over: the id is free again
+
+
+def test_a_request_at_fault_is_answered_and_leaves_no_engine_out() -> None:
+    with platform() as world, node(world) as made:
+        for name in ("r0", "r1"):
+            world.engines[name].faults.extend(["400"] * 2)
+        client = Client(world.listen)
+        assert ask(client, "bad")[0].status == 400
+        assert len(world.which("bad")) <= 2  # one read, perhaps a place
+        assert not any(s.paused for s in made.core.router.servers.values())  # type: ignore[attr-defined]
+
+
+def test_a_release_is_heard_before_its_request_is_read_anew() -> None:
+    """Engines slow to let go, and a reader that fails: without the order the new state is let go of, and 410."""
+    with platform() as world, node(world):
+        for engine in world.engines.values():
+            engine.release_delay = 0.03
+        world.work = 0.01
+        client = Client(world.listen)
+        for n in range(6):
+            world.engines["r0"].faults.append("reset")
+            world.engines["r1"].faults.append("reset")
+            assert ask(client, f"q{n}")[0].status in (200, 503)
+            for name in ("r0", "r1"):
+                world.engines[name].faults.clear()
+            passed = [what for what, _ in world.which(f"q{n}")]
+            if passed.count("read") == 2 and "release" in passed:
+                last = len(passed) - 1 - passed[::-1].index("read")
+                assert "release" not in passed[last:], passed
+        assert any("release" in [what for what, _ in world.which(f"q{n}")] for n in range(6))
+
+
+def test_a_spoilt_opening_is_tried_again_and_a_stream_spoilt_later_breaks_off_at_once() -> None:
+    with platform(2, 1) as world, node(world):
+        world.engines["w0"].faults.append("noise")
+        client = Client(world.listen)
+        assert ask(client, "q0")[0].status == 200
+        assert [what for what, _ in world.which("q0") if what in ("read", "write")] == ["read", "write"] * 2
+        world.engines["w0"].faults.append("spoilt")
+        began = time.monotonic()
+        with pytest.raises((ConnectionError, ValueError)):
+            ask(client, "q1")
+        assert time.monotonic() - began < 2.0
+        for fault in ("ahead", "behind", ""):
+            world.engines["w0"].faults.append(fault)
+            assert ask(Client(world.listen), f"q-{fault}")[0].status == 200
+
+
+def test_an_engine_told_as_draining_is_sent_nothing_more() -> None:
+    with platform() as world, node(world) as made:
+        client = Client(world.listen)
+        world.change("r0", "DRAINING")
+        assert wait_for(lambda: made.hosts.rev == world.rev)
+        world.change("w1", "DELETED")
+        assert wait_for(lambda: made.hosts.rev == world.rev)
+        for n in range(8):
+            assert ask(client, f"q{n}")[0].status == 200
+        assert {engine for _, what, engine, _ in world.seen if what in ("read", "write", "place")} == {"r1", "w0"}
+
+
+def test_a_client_that_leaves_frees_all() -> None:
+    with platform() as world, node(world) as made:
+        world.work = 0.2
+        client = Client(world.listen)
+        client.ask(b"{}", headers=headers("q"))
+        assert wait_for(lambda: bool(world.which("q")))
+        client.close()
+        assert wait_for(lambda: at_rest(made)) and wait_for(lambda: not world.held)
+
+
+def test_silent_clients_by_hundreds_keep_no_usual_client_out() -> None:
+    with platform() as world, node(world) as made:
+        silent = []
+        stop = time.monotonic() + 2.0
+        usual = Client(world.listen)
+        n = 0
+        while time.monotonic() < stop:
+            for _ in range(20):
+                with_one = socket.socket()
+                with_one.setblocking(False)
+                with_one.connect_ex(("127.0.0.1", world.listen))
+                silent.append(with_one)
+            n += 1
+            assert ask(usual, f"old{n}")[0].status == 200
+            fresh = Client(world.listen)
+            assert ask(fresh, f"new{n}")[0].status == 200
+            fresh.close()
+        assert len(silent) > 200 and made.host.connections <= made.host.limits.connections
+        for each in silent:
+            each.close()
+
+
+def test_descriptors_and_tables_stay_flat_over_many_short_connections() -> None:
+    with platform() as world, node(world) as made:
+        def some(count: int, tag: str) -> None:
+            for n in range(count):
+                client = Client(world.listen)
+                assert ask(client, f"{tag}{n}")[0].status == 200
+                client.close()
+
+        some(40, "warm")
+        assert wait_for(lambda: at_rest(made) and made.host.connections == 0)
+        before = len(os.listdir("/proc/self/fd"))
+        some(150, "more")
+        assert wait_for(lambda: at_rest(made) and made.host.connections == 0)
+        assert len(os.listdir("/proc/self/fd")) <= before + 8
+
+
+def test_term_under_load_serves_what_came_and_ends_with_0(tmp_path: Path) -> None:
+    with platform() as world, program(world, tmp_path) as run:
+        world.pause = 0.04
+        answers: list[int] = []
+        lost: list[str] = []
+
+        def user(n: int) -> None:
+            try:
+                answers.append(ask(Client(world.listen), f"q{n}")[0].status)
+            except (OSError, ValueError) as error:
+                lost.append(f"{n}: {error}")
+
+        threads = [threading.Thread(target=user, args=(n,)) for n in range(40)]
+        for n, thread in enumerate(threads):
+            thread.start()
+            time.sleep(0.01)
+            if n == 15:
+                run.signal(signal.SIGHUP)
+                run.signal(signal.SIGTERM)
+            if n == 25:
+                run.signal(signal.SIGTERM)
+        for thread in threads:
+            thread.join(10.0)
+        assert not lost and set(answers) == {200} and len(answers) == 40
+        assert run.process.wait(10.0) == 0
+
+
+def test_a_program_that_was_stopped_for_a_while_serves_on(tmp_path: Path) -> None:
+    """``sigtimedwait`` then returns with no signal and an undefined record (CPython 3.11): not one of ours."""
+    with platform() as world, program(world, tmp_path) as run:
+        for _ in range(2):
+            time.sleep(0.3)
+            run.signal(signal.SIGSTOP)
+            time.sleep(1.3)
+            run.signal(signal.SIGCONT)
+            time.sleep(0.3)
+            assert run.process.poll() is None
+        assert ask(Client(world.listen), "q")[0].status == 200
+
+
+def test_hup_moves_the_watch_and_keeps_all_else(tmp_path: Path) -> None:
+    with platform() as world, program(world, tmp_path) as run:
+        client = Client(world.listen)
+        assert ask(client, "before")[0].status == 200
+        other = Platform(1, 1)
+        try:
+            other.engines, other.states, other.rev = world.engines, world.states, world.rev
+            told = json.loads(world.config())
+            run.path.write_bytes(b"{ not yet whole")
+            run.signal(signal.SIGHUP)
+            assert ask(client, "between")[0].status == 200
+            told["discovery"] = f"127.0.0.1:{other.discovery.port}"
+            run.path.write_text(json.dumps(told))
+            run.signal(signal.SIGHUP)
+            assert wait_for(lambda: bool(other.discovery.asked))
+            assert other.discovery.asked[0].endswith(f"watch=1&after={world.rev}")
+            other.change("r0", "DRAINING")
+            time.sleep(0.2)
+            for n in range(6):
+                assert ask(client, f"q{n}")[0].status == 200
+            assert not any(("read", "r0") in world.which(f"q{n}") for n in range(6))
+        finally:
+            other.discovery.close()
+
+
+@pytest.mark.parametrize(("text", "said"), [(None, "EDGE_CONFIG"), ("{}", "missing required field"),
+                                            ('{"listen":"x"', "$")])  # fmt: skip
+def test_a_configuration_that_cannot_be_used_ends_plainly(text: str | None, said: str, tmp_path: Path) -> None:
+    env = {name: value for name, value in os.environ.items() if name != "EDGE_CONFIG"}
+    if text is not None:
+        path = tmp_path / "config.json"
+        path.write_text(text)
+        env["EDGE_CONFIG"] = str(path)
+    ended = subprocess.run([sys.executable, "-m", "stonetrack", "edge"], env=env, capture_output=True, text=True)
+    assert ended.returncode == 2 and said in ended.stderr and "Traceback" not in ended.stderr
+
+
+def test_the_program_loads_what_it_uses_and_no_more() -> None:
+    code = (
+        "import sys, stonetrack.cli.main, stonetrack.cli.edging, stonetrack.edge.serve\n"
+        "for name, module in list(sys.modules.items()):\n"
+        "    if 'site-packages' in (getattr(module, '__file__', None) or ''):\n"
+        "        print(name.partition('.')[0])"
+    )
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    assert {name for name in loaded if not name.startswith("_")} <= {"click", "msgspec", "typing_extensions"}
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -391,9 +391,12 @@
 
 
 def test_too_many_connections_are_refused_plainly() -> None:
-    with rig(1, 1, settings={"limits": {"connections": 3}}) as node:
+    limits = {"limits": {"connections": 3}}
+    with rig(1, 1, settings=limits, token_ms=60.0, answer_least=40, answer_most=40) as node:
         kept = [Client(node.port) for _ in range(3)]
-        assert wait_for(lambda: node.node.host.connections == 3)
+        for client in kept:
+            client.ask(chat(stream=True))
+        assert wait_for(lambda: node.node.open_requests == 3)
         refused = Client(node.port)
         head, body = refused.answer()
         assert head.status == 503 and b"connections" in body
@@ -403,6 +406,15 @@
         assert served(node)
 
 
+def test_a_silent_connection_makes_room_for_one_that_asks() -> None:
+    with rig(1, 1, settings={"limits": {"connections": 3}}) as node:
+        silent = [Client(node.port) for _ in range(3)]
+        assert wait_for(lambda: node.node.host.connections == 3)
+        assert served(node)
+        for client in silent:
+            client.close()
+
+
 def test_health_and_metrics_tell_what_passed(node: Rig) -> None:
     assert served(node)
     head, health = client_call(node, b"", path="/health", method="GET")
