Kept connections rest once requests on them were reset by crossing closes

At fault: pool.py, which puts a request on the newest connection, the one whose close may still be on its way. Each such reset also left a good engine out and used an attempt.

Without cause nothing changes.

--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -63,7 +63,7 @@
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving or gone")
         self.leases.settle(ask.request)
         try:
-            sock, _ = self.pool.take(engine.host, engine.port, self._connect)
+            sock, age = self.pool.take(engine.host, engine.port, self._connect)
         except OSError as error:
             if self.trace is not None:
                 self.trace(f"trace connect {server}: {type(error).__name__} {error}")
@@ -71,10 +71,12 @@
         if not may_send(server):  # a list may have come while we connected
             abort(sock)
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
+        if self.trace is not None:
+            self.trace(f"trace conn {ask.request} {number} {server} {age}")
         attempt = SocketAttempt(
             sock,
             request_bytes(ask, ask.body.deadline - self._clock()),
-            Exchange(engine.role, _LIMITS, self._read_report),
+            Exchange(engine.role, _LIMITS, self._read_report, lambda: self.pool.unanswered(age)),
             CONFIRM,
             lambda back: self.pool.give(engine.host, engine.port, back),
             api.Outcome.CONNECT_FAILED,
--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -64,13 +64,19 @@
 class Exchange:
     """Reads one answer; see the table above.  Feed it until it gives an ``Over``."""
 
-    __slots__ = ("_ahead", "_body", "_first", "_head", "_over", "_read_report", "_reader", "_role", "_tail", "began",
-                 "reusable", "seen")  # fmt: skip
-
-    def __init__(self, role: Role, limits: http1.Limits, read_report: ReadReport) -> None:
+    __slots__ = ("_ahead", "_body", "_first", "_head", "_over", "_read_report", "_reader", "_role", "_tail",
+                 "_unanswered", "began", "reusable", "seen")  # fmt: skip
+
+    def __init__(
+        self,
+        role: Role,
+        limits: http1.Limits,
+        read_report: ReadReport,
+        unanswered: Callable[[], None] = lambda: None,
+    ) -> None:
         self._reader = http1.MessageReader(http1.Side.RESPONSES, limits)
         self._role = role
-        self._read_report = read_report
+        self._read_report, self._unanswered = read_report, unanswered
         self._head: http1.ResponseHead | None = None
         self._body = bytearray()  # of an answer that is no stream, and a stream's beginning
         self._first = False  # a stream that waits for its first event
@@ -114,6 +120,8 @@
         """The connection broke."""
         events: list[AttemptEvent] = []
         self.reusable = False
+        if not self.seen and not self._over:
+            self._unanswered()
         self._end(Outcome.RESET, events, why=why)
         return events
 
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -138,11 +138,13 @@
         message = writer.request(method, PATH + request, [("Host", f"{engine.host}:{engine.port}")],
                                  b"" if method == "POST" else None)  # fmt: skip
         try:
-            sock, _ = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
+            sock, age = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
             try:
                 status, keep = exchange(sock, message, timeout)
-            except BaseException:
+            except OSError as error:
                 abort(sock)
+                if not isinstance(error, TimeoutError):
+                    self._pool.unanswered(age)
                 raise
         except OSError:
             self._suspects[engine.name] = self._clock() + SUSPECT
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -15,6 +15,8 @@
 import time
 from collections import deque
 
+from stonetrack.engines.reuse import Rest
+
 _ABORT = struct.pack("ii", 1, 0)
 
 
@@ -48,31 +50,41 @@
 
 
 class Pool:
-    """Idle connections by address, newest used first; bounded for each address, in all (``most``) and in age."""
+    """Idle connections by address; bounded for each address, in all (``most``) and in age.
+
+    The newest is used first, so that what is not needed grows old; where kept connections fail (:mod:`.reuse`), the
+    oldest, if it has rested for long enough.
+    """
 
     def __init__(self, per_engine: int, idle: float, most: int = 1 << 30) -> None:
         self._per_engine, self._idle, self._most = per_engine, idle, most
         self._count = 0
+        self.rest = Rest()
         self._lock = threading.Lock()
         self._kept: dict[tuple[str, int], deque[tuple[socket.socket, float]]] = {}
         self.opened = 0
         self.reused = 0
 
-    def take(self, host: str, port: int, timeout: float) -> tuple[socket.socket, bool]:
-        """A connection and whether it was used before.  Raises OSError where none can be made."""
+    def take(self, host: str, port: int, timeout: float) -> tuple[socket.socket, float | None]:
+        """A connection and for how many seconds it was kept, None for a new one.  Raises OSError where none is had."""
         while True:
             with self._lock:
-                kept = self._kept.get((host, port))
-                sock, since = kept.pop() if kept else (None, 0.0)
+                now, kept = time.monotonic(), self._kept.get((host, port))
+                sock, since = None, 0.0
+                if kept and not (needed := self.rest.needed(now)):
+                    sock, since = kept.pop()
+                elif kept and now - kept[0][1] >= needed:
+                    sock, since = kept.popleft()
                 self._count -= sock is not None
             if sock is None:
                 break
-            if time.monotonic() - since <= self._idle and not readable(sock):
+            age = time.monotonic() - since
+            if age <= self._idle and not readable(sock):
                 self.reused += 1
-                return sock, True
+                return sock, age
             sock.close()
         self.opened += 1
-        return connect(host, port, timeout), False
+        return connect(host, port, timeout), None
 
     def give(self, host: str, port: int, sock: socket.socket) -> None:
         """Keep a connection whose last answer was read to its end."""
@@ -92,6 +104,12 @@
         for each in stale:
             each.close()
 
+    def unanswered(self, age: float | None) -> None:
+        """A request was reset before a byte of an answer; ``age`` as :meth:`take` gave it."""
+        if age is not None:
+            with self._lock:
+                self.rest.unanswered(time.monotonic(), age)
+
     def kept(self, host: str, port: int) -> int:
         """Idle connections to an address."""
         return len(self._kept.get((host, port), ()))
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -21,6 +21,7 @@
 from stonetrack.engines.listing import ListError, Listing
 from stonetrack.engines.pool import Pool
 from stonetrack.engines.releases import Item, ReleaseBook
+from stonetrack.engines.reuse import Rest
 from stonetrack.engines.sources import ListSource, save
 from stonetrack.node.ports import Ask, AttemptEvent, Began, Over, Piece
 from stonetrack.settings.schema import Kind, Source
@@ -201,14 +202,14 @@
     theirs, _ = server.accept()
     pool.give(host, port, sock)
     again, used = pool.take(host, port, 1.0)
-    assert used and again is sock
+    assert used is not None and again is sock
     pool.give(host, port, again)
     theirs.close()
     poller = select.poll()
     poller.register(again.fileno(), select.POLLIN)
     assert poller.poll(2_000)
     fresh, used = pool.take(host, port, 1.0)
-    assert not used and fresh is not sock
+    assert used is None and fresh is not sock
     fresh.close()
     server.close()
     with pytest.raises(OSError):
@@ -225,7 +226,39 @@
     assert sum(sock.fileno() >= 0 for sock in socks) == 2
     time.sleep(0.1)
     _, used = pool.take(host, port, 1.0)
-    assert not used
+    assert used is None
+    pool.close()
+    server.close()
+
+
+def test_kept_connections_rest_once_requests_on_them_went_unanswered() -> None:
+    rest = Rest()
+    assert rest.needed(0.0) == 0.0
+    rest.unanswered(10.0, 0.2)
+    assert rest.needed(10.0) == 0.0  # one may be chance
+    rest.unanswered(11.0, 0.4)
+    assert rest.needed(11.0) == pytest.approx(0.52)
+    rest.unanswered(11.5, 9.0)  # an engine that went down: no crossing close takes so long
+    assert rest.needed(12.0) == pytest.approx(0.52)
+    assert rest.needed(30.5) == 0.0  # the first is forgotten
+
+
+def test_a_pool_that_needs_rest_takes_the_oldest_and_opens_meanwhile() -> None:
+    server = listening()
+    host, port = server.getsockname()
+    pool = Pool(4, idle=60.0)
+    first, second = (pool.take(host, port, 1.0)[0] for _ in range(2))
+    pool.give(host, port, first)
+    for _ in range(2):
+        pool.unanswered(0.05)
+    young, age = pool.take(host, port, 1.0)
+    assert age is None and pool.kept(host, port) == 1
+    time.sleep(0.1)
+    pool.give(host, port, second)
+    oldest, age = pool.take(host, port, 1.0)
+    assert oldest is first and age is not None and age >= 0.1
+    for sock in (young, oldest):
+        sock.close()
     pool.close()
     server.close()
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,7 +29,8 @@
 IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
 PURE = [
     "wire/*.py", "node/life.py", "node/ports.py", "engines/protocol.py", "engines/load.py", "engines/listing.py",
-    "engines/releases.py", "fronts/answers.py", "fronts/classify.py", "fronts/auth.py", "fronts/errors.py",
+    "engines/releases.py", "engines/reuse.py", "fronts/answers.py", "fronts/classify.py", "fronts/auth.py",
+    "fronts/errors.py",
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "day/judge.py", "day/script.py",
     "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
