--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
+from weakref import WeakKeyDictionary
 
 from stonetrack import api
 from stonetrack.edge.asks import ID, LEFT
@@ -47,6 +49,7 @@
         self._clock, self._connect, self._read_report = clock, connect_timeout, read_report
         self._engines: dict[str, Engine] = {}
         self.trace: Callable[[str], None] | None = None
+        self._traced: WeakKeyDictionary[SocketAttempt, str] = WeakKeyDictionary()  # filled while there is a trace
 
     def list_changed(self, engines: dict[str, Engine]) -> None:
         """Take the addresses of a new list; what is kept to others is closed."""
@@ -81,11 +84,22 @@
             lambda back: self.pool.give(engine.host, engine.port, back),
             api.Outcome.CONNECT_FAILED,
         )
+        if self.trace is not None:
+            self._traced[attempt] = server
         for event in attempt.push():
             if isinstance(event, Over):
                 return event
         return attempt
 
+    def open_attempts(self) -> Counter[str]:
+        """Attempts whose sockets are open, by server; only while there is a trace."""
+        return Counter(server for attempt, server in list(self._traced.items()) if attempt.fileno() >= 0)
+
+    def kept(self, server: str) -> int:
+        """Idle connections to a server."""
+        engine = self._engines.get(server)
+        return self.pool.kept(engine.host, engine.port) if engine is not None else 0
+
     def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """See ``ports.Engines.hold``."""
         self.leases.hold(request, server, answer)
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -59,7 +59,7 @@
     """See the module."""
 
     def __init__(self, config: Config, traced: bool = False) -> None:
-        self.config = config
+        self.config, self._traced = config, traced
         self.clock = unix_clock()
         budget = divide(config.limits.sockets, config.limits.memory_mb)
         told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
@@ -183,6 +183,14 @@
     def tend(self) -> None:
         """What is looked after about once a second."""
         self.pool.prune()
+        if self._traced:
+            from stonetrack.edge.trace import beliefs
+
+            lines: list[str] = []
+            open_at = self.engines.open_attempts()
+            self.core.still(lambda: lines.extend(beliefs(self._told.router, open_at, self.engines.kept)))
+            for line in lines:
+                log(f"trace belief {line}")
 
     def drain(self) -> None:
         """Serve what was taken to its end; signals that come meanwhile change nothing."""
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -44,7 +44,7 @@
 class SocketAttempt:
     """See ``ports.Attempt``; used by one thread.  ``unsent`` is the outcome where the request did not go out whole."""
 
-    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock", "_unsent")
+    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock", "_unsent", "__weakref__")
 
     def __init__(
         self,
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -265,9 +265,9 @@
 
 
 @contextmanager
-def node(world: Platform, **limits: Any) -> Iterator[EdgeNode]:
+def node(world: Platform, traced: bool = False, **limits: Any) -> Iterator[EdgeNode]:
     """A node in this process."""
-    made = EdgeNode(parse(world.config(**limits)))
+    made = EdgeNode(parse(world.config(**limits)), traced)
     made.start()
     try:
         yield made
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -44,6 +45,22 @@
         assert made.core.router.servers["r0"].report is not None  # type: ignore[attr-defined]
 
 
+def test_what_the_router_believes_is_what_passes_on_the_sockets(capfd: pytest.CaptureFixture[str]) -> None:
+    with platform(1, 1) as world, node(world, traced=True) as made:
+        world.pause = 0.2
+        clients = [Client(world.listen) for _ in range(3)]
+        for n, client in enumerate(clients):
+            client.ask(b"{}", headers=headers(f"q{n}"))
+        assert wait_for(lambda: made.core.router.servers["w0"].streams == 3)  # type: ignore[attr-defined]
+        assert wait_for(lambda: made.engines.open_attempts() == {"w0": 3})
+        made.tend()
+        for client in clients:
+            assert client.answer()[0].status == 200
+        assert wait_for(lambda: at_rest(made)) and not +made.engines.open_attempts()
+    said = capfd.readouterr().err
+    assert re.search(r"trace belief w0 writer up waiting \d streams 3 .*; sockets: open 3", said), said
+
+
 def test_a_bad_request_gets_an_error_and_the_next_is_served() -> None:
     with platform() as world, node(world):
         client = Client(world.listen)
