Simpler: one reader of host:port, one way out of the pool, plain answers made once

Cause: read again as a whole, the node's change had repeats and detours. The check of host:port stood in edge/config.py as in engines/listing.py; the pool let idle connections go in four places, each with its own count; the drive was handed the mailbox that it now keeps; the trace was set after its owner was made; a target was compared before it was stored.

Change: listing.split_address serves lists and configuration; Pool._stale and _oldest; Drive._commands reads its own mailbox; EdgeEngines takes its trace; sink.whole makes every plain answer, respond tells whether to keep the connection.

--- a/stonetrack/edge/config.py
+++ b/stonetrack/edge/config.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from stonetrack import api, drill
+from stonetrack.engines.listing import split_address
 
 
 class ConfigError(ValueError):
@@ -56,10 +57,10 @@
 
 def address(text: str, path: str) -> tuple[str, int]:
     """Host and port of ``host:port``.  Raises ConfigError."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65_536:
+    found = split_address(text)
+    if found is None:
         raise ConfigError(f"{path}: found {text[:100]!r}; allowed: host:port")
-    return host.strip("[]"), int(port)
+    return found
 
 
 def flatten(value: object, path: str = "") -> dict[str, str]:
--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -44,11 +44,12 @@
         clock: Callable[[], int],
         connect_timeout: float,
         read_report: ReadReport,
+        trace: Callable[[str], None] | None = None,
     ) -> None:
         self.pool, self.leases = pool, leases
         self._clock, self._connect, self._read_report = clock, connect_timeout, read_report
         self._engines: dict[str, Engine] = {}
-        self.trace: Callable[[str], None] | None = None
+        self._trace = trace
         self._traced: WeakKeyDictionary[SocketAttempt, str] = WeakKeyDictionary()  # filled while there is a trace
 
     def list_changed(self, engines: dict[str, Engine]) -> None:
@@ -68,14 +69,14 @@
         try:
             sock, age = self.pool.take(engine.host, engine.port, self._connect)
         except OSError as error:
-            if self.trace is not None:
-                self.trace(f"trace connect {server}: {type(error).__name__} {error}")
+            if self._trace is not None:
+                self._trace(f"trace connect {server}: {type(error).__name__} {error}")
             return Over(api.Outcome.CONNECT_FAILED, f"engine {server}: {error}")
         if not may_send(server):  # a list may have come while we connected
             abort(sock)
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
-        if self.trace is not None:
-            self.trace(f"trace conn {ask.request} {number} {server} {age}")
+        if self._trace is not None:
+            self._trace(f"trace conn {ask.request} {number} {server} {age}")
         attempt = SocketAttempt(
             sock,
             request_bytes(ask, ask.body.deadline - self._clock()),
@@ -84,7 +85,7 @@
             lambda back: self.pool.give(engine.host, engine.port, back),
             api.Outcome.CONNECT_FAILED,
         )
-        if self.trace is not None:
+        if self._trace is not None:
             self._traced[attempt] = server
         for event in attempt.push():
             if isinstance(event, Over):
--- a/stonetrack/edge/hosts.py
+++ b/stonetrack/edge/hosts.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from stonetrack import api
-from stonetrack.edge.config import ConfigError, address
+from stonetrack.engines.listing import split_address
 
 MS = 1_000_000
 _STATES = {
@@ -98,21 +98,17 @@
         if state is None:
             self._pass(target, f"state {target.state[:40]!r}")
             return None
-        held = self.engines.get(target.uid)
         if state is api.ServerState.REMOVED:
             return api.ServerEntry(target.uid, 0, 0, target.pod_group, state)
         kind = self._kinds.get(target.model)
         if kind is None or kind >= len(self._roles):
             self._pass(target, f"model {target.model[:40]!r}")
             return None
-        try:
-            host, port = address(target.endpoint, "endpoint")
-        except ConfigError as error:
-            self._pass(target, str(error))
+        address = split_address(target.endpoint)
+        if address is None:
+            self._pass(target, f"endpoint: found {target.endpoint[:100]!r}; allowed: host:port")
             return None
-        engine = Engine(target.uid, host, port, self._roles[kind], state is api.ServerState.UP)
-        if held != engine:
-            self.engines[target.uid] = engine
+        self.engines[target.uid] = Engine(target.uid, *address, self._roles[kind], state is api.ServerState.UP)
         weight = target.capacity_hint if 0.0 < target.capacity_hint < 1e6 else 1.0
         zone = self._zones.setdefault(target.az, len(self._zones))
         started = max(0, int(target.boot_ms * MS))
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -27,10 +27,10 @@
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.hosts import Hosts, HostsError
 from stonetrack.edge.leases import Leases
-from stonetrack.edge.sink import EdgeSink
+from stonetrack.edge.sink import EdgeSink, whole
 from stonetrack.edge.watch import Watch
 from stonetrack.engines.pool import Pool
-from stonetrack.fronts.host import Connection, Host, Request, listen, plain
+from stonetrack.fronts.host import Connection, Host, Request, listen
 from stonetrack.node.core import Core, unix_clock
 from stonetrack.node.drive import Bounds, Drive, Waker
 from stonetrack.settings.schema import Limits, Timing
@@ -51,11 +51,6 @@
         sys.stderr.flush()
 
 
-def refusal(status: int, why: str) -> bytes:
-    """The answer to what can't be read or served; the connection closes after it."""
-    return plain(status, f"{why}\n".encode(), kind="text/plain; charset=utf-8", keep=False)
-
-
 class EdgeNode:
     """See the module."""
 
@@ -63,15 +58,13 @@
         self.config, self._traced = config, traced
         self.clock = unix_clock()
         budget = divide(config.limits.sockets, config.limits.memory_mb)
-        told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
-        self._told = told
-        self.core = Core(told.router, self.clock, log=log, record=self._recorder() if traced else None)
+        self._told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
+        self.core = Core(self._told.router, self.clock, log=log, record=self._recorder() if traced else None)
         settings = config.settings
         self.pool = Pool(budget.kept, config.connection_idle / SECOND / 2, budget.kept)
         connect = max(settings.connect_timeout, 1) / SECOND
         self.leases = Leases(self.pool, self.clock, connect, settings.release_within)
-        self.engines = EdgeEngines(self.pool, self.leases, self.clock, connect, self._report)
-        self.engines.trace = log if traced else None
+        self.engines = EdgeEngines(self.pool, self.leases, self.clock, connect, self._report, log if traced else None)
         self.hosts = Hosts(config.kinds, config.zones, tuple(kind.role for kind in settings.kinds))
         self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
         self.bounds = Bounds(SILENCE, STALL, 64 << 10)
@@ -91,7 +84,7 @@
             ),
             Timing(header_ms=2_000, body_ms=2_500, idle_ms=2_500, client_stall_ms=STALL // 1_000_000),
             self.handle,
-            refusal,
+            whole,
             log,
             budget.wakers,
         )
@@ -146,26 +139,21 @@
         head = request.head
         sink = EdgeSink(connection, request)
         if head.path == "/up" and head.method in ("GET", "HEAD"):
-            sink.respond(200, "up" if head.method == "GET" else "")
-            return sink.keep
+            return sink.respond(200, "up" if head.method == "GET" else "")
         if head.path != asks.CHAT or head.method != "POST":
-            sink.respond(404, f"allowed: POST {asks.CHAT}, GET /up")
-            return sink.keep
+            return sink.respond(404, f"allowed: POST {asks.CHAT}, GET /up")
         if self._last_call and request.arrived > self._last_call:
-            sink.respond(503, "this node is leaving: try again elsewhere")
-            return False
+            return sink.respond(503, "this node is leaving: try again elsewhere")
         try:
             waited = time.monotonic_ns() - request.arrived
             ask = asks.ask(head, request.body, self.classes, waited, self.clock())
         except asks.BadAsk as error:
-            sink.respond(error.status, str(error))
-            return sink.keep
+            return sink.respond(error.status, str(error))
         with self._ids_lock:
             taken = ask.request in self._ids
             self._ids.add(ask.request)
         if taken:
-            sink.respond(409, f"request {ask.request} is open already")
-            return sink.keep
+            return sink.respond(409, f"request {ask.request} is open already")
         try:
             life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
         finally:
@@ -219,10 +207,7 @@
     path = Path(where)
     try:
         node = EdgeNode(parse(path.read_bytes()), environ.get("EDGE_TRACE") == "1")
-    except ConfigError as error:
-        log(f"{path}: {error}")
-        return 2
-    except OSError as error:
+    except (OSError, ConfigError) as error:
         log(f"{path}: {error}")
         return 2
     node.start()
--- a/stonetrack/edge/sink.py
+++ b/stonetrack/edge/sink.py
@@ -18,6 +18,11 @@
     return (("Retry-After", f"{nanoseconds / SECOND:g}"),) if nanoseconds > 0 else ()
 
 
+def whole(status: int, text: str, headers: tuple[tuple[str, str], ...] = (), keep: bool = False) -> bytes:
+    """One whole answer in plain text; the connection closes after it unless kept."""
+    return plain(status, f"{text}\n".encode(), headers, "text/plain; charset=utf-8", keep)
+
+
 class EdgeSink(ConnectionSink):
     """One request's answer on its client's connection."""
 
@@ -63,7 +68,8 @@
             case ports.Rejected(status):
                 self.respond(status, "refused by an engine")
 
-    def respond(self, status: int, text: str, headers: tuple[tuple[str, str], ...] = ()) -> None:
-        """One whole answer."""
+    def respond(self, status: int, text: str, headers: tuple[tuple[str, str], ...] = ()) -> bool:
+        """One whole answer; whether the connection may be kept."""
         self.keep = self.keep and not self.connection.last
-        self.connection.write(plain(status, f"{text}\n".encode(), headers, "text/plain; charset=utf-8", keep=self.keep))
+        self.connection.write(whole(status, text, headers, self.keep))
+        return self.keep
--- a/stonetrack/engines/listing.py
+++ b/stonetrack/engines/listing.py
@@ -26,6 +26,14 @@
     """A list that can't be used; the text names what, where and what is allowed."""
 
 
+def split_address(text: str) -> tuple[str, int] | None:
+    """Host and port of ``host:port``, None where it is not of this form."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65_536:
+        return None
+    return host.strip("[]"), int(port)
+
+
 class Line(msgspec.Struct, frozen=True):
     """One engine as a document gives it."""
 
@@ -118,8 +126,8 @@
         at = f"server list: engines[{n}] ({line.name!r})"
         if not line.name or len(line.name) > 200 or not line.name.isprintable():
             raise ListError(f"{at}: name: 1 to 200 printable characters are allowed")
-        host, colon, port = line.address.rpartition(":")
-        if not colon or not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port) < 65_536:
+        address = split_address(line.address)
+        if address is None:
             raise ListError(f"{at}: address {line.address!r}; allowed: host:port")
         if line.kind not in self._kinds:
             raise ListError(f"{at}: kind {line.kind!r}; allowed: {', '.join(self._kinds)}")
@@ -127,4 +135,4 @@
             raise ListError(
                 f"{at}: weight {line.weight}, started {line.started}; allowed: over 0, seconds of Unix time"
             )
-        return Engine(line.name, host.strip("[]"), int(port), self._kinds[line.kind][1])
+        return Engine(line.name, *address, self._kinds[line.kind][1])
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -78,7 +78,7 @@
                 self._count -= sock is not None
             if sock is None:
                 break
-            age = time.monotonic() - since
+            age = now - since
             if age <= self._idle and not readable(sock):
                 self.reused += 1
                 return sock, age
@@ -89,21 +89,28 @@
     def give(self, host: str, port: int, sock: socket.socket) -> None:
         """Keep a connection whose last answer was read to its end."""
         now = time.monotonic()
-        stale: list[socket.socket] = []
         with self._lock:
             kept = self._kept.setdefault((host, port), deque())
             kept.append((sock, now))
             self._count += 1
-            while kept and (len(kept) > self._per_engine or now - kept[0][1] > self._idle):
-                stale.append(kept.popleft()[0])
-                self._count -= 1
+            stale = self._stale(kept, now)
             if self._count > self._most:  # the longest idle of all goes first
                 oldest = min((each for each in self._kept.values() if each), key=lambda each: each[0][1])
-                stale.append(oldest.popleft()[0])
-                self._count -= 1
+                stale.append(self._oldest(oldest))
         for each in stale:
             each.close()
 
+    def _oldest(self, kept: deque[tuple[socket.socket, float]]) -> socket.socket:
+        self._count -= 1
+        return kept.popleft()[0]
+
+    def _stale(self, kept: deque[tuple[socket.socket, float]], now: float) -> list[socket.socket]:
+        """What is too many or too old among an address's, taken out.  Under the lock."""
+        stale = []
+        while kept and (len(kept) > self._per_engine or now - kept[0][1] > self._idle):
+            stale.append(self._oldest(kept))
+        return stale
+
     def unanswered(self, age: float | None) -> None:
         """A request was reset before a byte of an answer; ``age`` as :meth:`take` gave it."""
         if age is not None:
@@ -117,12 +124,8 @@
     def prune(self) -> None:
         """Close what has been idle for too long; to be called now and then."""
         now = time.monotonic()
-        stale: list[socket.socket] = []
         with self._lock:
-            for kept in self._kept.values():
-                while kept and now - kept[0][1] > self._idle:
-                    stale.append(kept.popleft()[0])
-                    self._count -= 1
+            stale = [sock for kept in self._kept.values() for sock in self._stale(kept, now)]
         for each in stale:
             each.close()
 
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -3,8 +3,7 @@
 A thread waits in one ``poll`` on three descriptors: the client's (leaving, room to write), the attempt's, and its own
 wake-up, written by whoever puts a command into its mailbox.  Where descriptors are short a waker has none, and its
 thread looks into the mailbox by itself until the answer has begun (from then on nothing is put there that it waits
-for).  Sockets are blocking ones, read and written only when
-``poll`` says so, and never touched by another thread.
+for).  Sockets are blocking ones, read and written only when ``poll`` says so, and never touched by another thread.
 """
 
 from __future__ import annotations
@@ -97,8 +96,8 @@
         self.progress = core.clock()
         try:
             while True:
-                self._commands(ticket.commands)
-                if life.over and not ticket.commands and (life.gone or not self.sink.pending):
+                self._commands()
+                if life.over and not self.commands and (life.gone or not self.sink.pending):
                     return life
                 self._wait()
         finally:
@@ -106,13 +105,13 @@
                 self.attempt.abort()
             core.leave(ticket)
 
-    def _commands(self, commands: deque) -> None:  # type: ignore[type-arg]
-        while commands or self.late:
+    def _commands(self) -> None:
+        while self.commands or self.late:
             now = self.core.clock()
             if self.late:
                 self._do(self.life.attempt(self.late.popleft(), now))
             else:
-                self._do(self.life.command(commands.popleft(), now))
+                self._do(self.life.command(self.commands.popleft(), now))
 
     # One wait.
 
@@ -159,12 +158,11 @@
 
     def _timeout(self, now: int) -> float | None:
         """Milliseconds until something is due."""
-        life = self.life
-        dues = [life.due()] if not self._blocked() else []
+        dues = [self.life.due()] if not self._blocked() else []
         if self.sink.pending and not self.life.gone:
             dues.append(self.progress + self.bounds.client_stall)
         dues = [due for due in dues if due]
-        if self.waker.fd < 0 and life.stage is not Stage.STREAMING:
+        if self.waker.fd < 0 and self.life.stage is not Stage.STREAMING:
             dues.append(now + LOOK_UP)
         return max(0.0, (min(dues) - now) / MS + 1.0) if dues else None
 
