Two readers are asked for their load before a prompt is sent, where many share many

One reader reads 27,000 tokens a second with 4 s of waiting, others 600 to 5,000. Cause: no node hears of a reader more than once a minute (_weigh draws reports to the mean within 2 s), so whom the hash crowds stays crowded; requests passed over went where 0.8 to 0.9 of them found nothing kept (7,500 tokens read instead of 2,300); _call_off read 800 prompts twice on engines that go on reading. Change: Router._ask, _choose_reader, _call_off (docs/fleet.md); edge/probes.py asks GET /metrics/load; one caller for places, releases and probes (edge/calls.py).

--- /dev/null
+++ b/stonetrack/edge/calls.py
@@ -0,0 +1,90 @@
+"""One short call at an engine over the shared pool: the request out, its whole answer in, within one deadline."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from stonetrack.edge.hosts import Engine
+from stonetrack.engines.pool import Pool, abort
+from stonetrack.wire import http1
+from stonetrack.wire.errors import ProtocolError
+
+SUSPECT = 3_000_000_000  # nanoseconds for which an engine that did not answer is asked last
+_LIMITS = http1.Limits(head=16_384, headers=64, body=65_536)
+_BODY = 4_096  # bytes of an answer that are kept
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer; ``keep`` tells whether the connection may be used again."""
+
+    head: http1.ResponseHead
+    body: bytes
+    keep: bool
+
+
+def exchange(sock: socket.socket, request: bytes, timeout: float) -> Answer:
+    """Send one call and read its answer, in so many seconds.  Raises OSError."""
+    reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
+    end = time.monotonic() + timeout
+    sock.settimeout(timeout)
+    sock.sendall(request)
+    head: http1.ResponseHead | None = None
+    body = b""
+    while True:
+        sock.settimeout(max(end - time.monotonic(), 0.001))
+        data = sock.recv(16_384)
+        if not data:
+            raise ConnectionError("closed without an answer")
+        try:
+            while events := reader.feed(data, messages=1):
+                data = b""
+                for event in events:
+                    if isinstance(event, http1.ResponseHead):
+                        head, body = event, b""
+                    elif isinstance(event, http1.Data):
+                        body = (body + event.data)[:_BODY]
+                    elif isinstance(event, http1.End) and head is not None and head.status >= 200:
+                        sock.settimeout(None)
+                        return Answer(head, body, head.keep_alive and reader.idle)
+        except ProtocolError as error:
+            raise ConnectionError(str(error)) from None
+
+
+class Calls:
+    """Calls engines; remembers for a while which did not answer."""
+
+    def __init__(self, pool: Pool, clock: Callable[[], int], connect: float) -> None:
+        self._pool, self._clock, self._connect = pool, clock, connect
+        self.suspects: dict[str, int] = {}  # until when, by engine
+
+    def forget(self, names: set[str]) -> None:
+        """Forget engines that are not among these."""
+        self.suspects = {name: until for name, until in self.suspects.items() if name in names}
+
+    def kept(self, engine: Engine) -> int:
+        """Idle connections to an engine."""
+        return self._pool.kept(engine.host, engine.port)
+
+    def call(self, engine: Engine, message: bytes, timeout: float) -> Answer:
+        """One call's answer.  Raises OSError; the engine then counts as suspect for a while."""
+        try:
+            sock, age = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
+            try:
+                answer = exchange(sock, message, timeout)
+            except OSError as error:
+                abort(sock)
+                if not isinstance(error, TimeoutError):
+                    self._pool.unanswered(age)
+                raise
+        except OSError:
+            self.suspects[engine.name] = self._clock() + SUSPECT
+            raise
+        if answer.keep:
+            self._pool.give(engine.host, engine.port, sock)
+        else:
+            sock.close()
+        return answer
--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -12,6 +12,7 @@
 from stonetrack.edge.exchange import Exchange, ReadReport
 from stonetrack.edge.hosts import Engine
 from stonetrack.edge.leases import Leases
+from stonetrack.edge.probes import Probes
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.pool import Pool, abort
 from stonetrack.node.ports import Ask, Attempt, Over
@@ -41,12 +42,13 @@
         self,
         pool: Pool,
         leases: Leases,
+        probes: Probes,
         clock: Callable[[], int],
         connect_timeout: float,
         read_report: ReadReport,
         trace: Callable[[str], None] | None = None,
     ) -> None:
-        self.pool, self.leases = pool, leases
+        self.pool, self.leases, self.probes = pool, leases, probes
         self._clock, self._connect, self._read_report = clock, connect_timeout, read_report
         self._engines: dict[str, Engine] = {}
         self._trace = trace
@@ -56,6 +58,7 @@
         """Take the addresses of a new list; what is kept to others is closed."""
         self._engines = engines
         self.leases.list_changed(engines)
+        self.probes.list_changed(engines)
         self.pool.forget({(e.host, e.port) for e in engines.values()})
 
     def start(
@@ -112,4 +115,5 @@
             self.leases.release(request)
 
     def probe(self, server: str) -> None:
-        """See ``ports.Engines.probe``: the router asks for none where reports come with answers."""
+        """See ``ports.Engines.probe``."""
+        self.probes.probe(server)
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -16,25 +16,21 @@
 
 import contextlib
 import queue
-import socket
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from stonetrack.edge.calls import Calls
 from stonetrack.edge.hosts import Engine
-from stonetrack.engines.pool import Pool, abort
 from stonetrack.engines.releases import Item
 from stonetrack.engines.releasing import Releasing
-from stonetrack.wire import http1, writer
-from stonetrack.wire.errors import ProtocolError
+from stonetrack.wire import writer
 
 PATH = "/kv/leases/"
 RELEASE_TIMEOUT, HOLD_TIMEOUT = 0.12, 0.5  # seconds; an engine that can't tell of a place takes 0.3
-SUSPECT = 3_000_000_000  # nanoseconds for which an engine that did not answer is asked last
 SETTLE = 0.06  # seconds for which an attempt waits for an older release of its request
 _MOST_PLACES = 64  # waiting to be asked for: more than that come too late
-_LIMITS = http1.Limits(head=16_384, headers=64, body=65_536)
 
 
 @dataclass(slots=True)
@@ -55,39 +51,12 @@
     return ranked[tries % len(ranked)]
 
 
-def exchange(sock: socket.socket, request: bytes, timeout: float) -> tuple[int, bool]:
-    """Send one call and read its answer: status, and whether the connection may be kept.  Raises OSError."""
-    reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
-    end = time.monotonic() + timeout
-    sock.settimeout(timeout)
-    sock.sendall(request)
-    head: http1.ResponseHead | None = None
-    while True:
-        sock.settimeout(max(end - time.monotonic(), 0.001))
-        data = sock.recv(16_384)
-        if not data:
-            raise ConnectionError("closed without an answer")
-        try:
-            while events := reader.feed(data, messages=1):
-                data = b""
-                for event in events:
-                    if isinstance(event, http1.ResponseHead):
-                        head = event
-                    elif isinstance(event, http1.End) and head is not None and head.status >= 200:
-                        sock.settimeout(None)
-                        return head.status, head.keep_alive and reader.idle
-        except ProtocolError as error:
-            raise ConnectionError(str(error)) from None
-
-
 class Leases:
-    """Runs the calls on a few threads over the shared pool."""
+    """Runs the calls on a few threads."""
 
-    def __init__(self, pool: Pool, clock: Callable[[], int], connect: float, release_within: int,
-                 threads: int = 3) -> None:  # fmt: skip
-        self._pool, self._clock, self._connect = pool, clock, connect
+    def __init__(self, calls: Calls, clock: Callable[[], int], release_within: int, threads: int = 3) -> None:
+        self._calls, self._clock = calls, clock
         self._engines: dict[str, Engine] = {}
-        self._suspects: dict[str, int] = {}
         self._jobs: queue.Queue[tuple[str, Engine, _Hold, Callable[[bool], None]] | None] = queue.Queue(_MOST_PLACES)
         self._holding: dict[str, _Hold] = {}
         self._hold_lock = threading.Lock()
@@ -111,7 +80,6 @@
     def list_changed(self, engines: dict[str, Engine]) -> None:
         """Take a new list."""
         self._engines = engines
-        self._suspects = {name: until for name, until in self._suspects.items() if name in engines}
 
     @property
     def open(self) -> int:
@@ -126,26 +94,10 @@
         return not self.open
 
     def _call(self, engine: Engine, method: str, request: str, timeout: float) -> int:
-        """One call's status.  Raises OSError; the engine then counts as suspect for a while."""
+        """One call's status.  Raises OSError."""
         message = writer.request(method, PATH + request, [("Host", f"{engine.host}:{engine.port}")],
                                  b"" if method == "POST" else None)  # fmt: skip
-        try:
-            sock, age = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
-            try:
-                status, keep = exchange(sock, message, timeout)
-            except OSError as error:
-                abort(sock)
-                if not isinstance(error, TimeoutError):
-                    self._pool.unanswered(age)
-                raise
-        except OSError:
-            self._suspects[engine.name] = self._clock() + SUSPECT
-            raise
-        if keep:
-            self._pool.give(engine.host, engine.port, sock)
-        else:
-            sock.close()
-        return status
+        return self._calls.call(engine, message, timeout).head.status
 
     # Places.
 
@@ -223,7 +175,7 @@
 
     def _release(self, item: Item) -> bool:
         engines = list(self._engines.values())
-        engine = pick(engines, lambda e: self._pool.kept(e.host, e.port), self._suspects, self._clock(), item.tries - 1)
+        engine = pick(engines, self._calls.kept, self._calls.suspects, self._clock(), item.tries - 1)
         if engine is None:
             return False
         try:
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -23,10 +23,12 @@
 from stonetrack.api import Action, Event, LoadReport
 from stonetrack.edge import asks
 from stonetrack.edge.budget import divide
+from stonetrack.edge.calls import Calls
 from stonetrack.edge.config import Config, ConfigError, parse
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.hosts import Hosts, HostsError
 from stonetrack.edge.leases import Leases
+from stonetrack.edge.probes import Probes
 from stonetrack.edge.sink import EdgeSink, whole
 from stonetrack.edge.watch import Watch
 from stonetrack.engines.pool import Pool
@@ -59,12 +61,17 @@
         self.clock = unix_clock()
         budget = divide(config.limits.sockets, config.limits.memory_mb)
         self._told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
-        self.core = Core(self._told.router, self.clock, log=log, record=self._recorder() if traced else None)
+        record = self._recorder() if traced else None
+        self.core = Core(self._told.router, self.clock, log=log, probe=self._probe, record=record)
         settings = config.settings
         self.pool = Pool(budget.kept, config.connection_idle / SECOND / 2, budget.kept)
         connect = max(settings.connect_timeout, 1) / SECOND
-        self.leases = Leases(self.pool, self.clock, connect, settings.release_within)
-        self.engines = EdgeEngines(self.pool, self.leases, self.clock, connect, self._report, log if traced else None)
+        self.calls = Calls(self.pool, self.clock, connect)
+        self.leases = Leases(self.calls, self.clock, settings.release_within)
+        self.probes = Probes(self.calls, self.clock, self._report, self.core.tell)
+        self.engines = EdgeEngines(
+            self.pool, self.leases, self.probes, self.clock, connect, self._report, log if traced else None
+        )
         self.hosts = Hosts(config.kinds, config.zones, tuple(kind.role for kind in settings.kinds))
         self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
         self.bounds = Bounds(SILENCE, STALL, 64 << 10)
@@ -101,6 +108,9 @@
         except drill.WireError:
             return None
 
+    def _probe(self, server: str) -> None:
+        self.engines.probe(server)
+
     def _document(self, data: bytes, fresh: bool, known: bool = False) -> None:
         """Take a list: addresses first, since the router may send to what it is told of at once."""
         try:
@@ -112,6 +122,7 @@
             return
         for each in self.hosts.passed_over:
             log(f"server list: passed over {each}")
+        self.calls.forget(set(self.hosts.engines))
         self.engines.list_changed(dict(self.hosts.engines))
         self.core.tell(event)
 
@@ -119,6 +130,7 @@
         """Take the list that came along, follow discovery, accept clients."""
         self.core.start()
         self.leases.start()
+        self.probes.start()
         if self.config.known:
             self._document(self.config.known, fresh=True, known=True)
         self.watch.start()
@@ -130,6 +142,7 @@
         self.host.stop()
         self.core.stop()
         self.leases.stop()
+        self.probes.stop()
         self.pool.close()
 
     # Requests.
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -25,6 +25,8 @@
 REPORT_HALF = 2 * SECOND  # a load report's distance from the mean halves in this time
 NOISE = 4  # differences below so many requests' reading, or waiting states, are noise
 NEAR = WEIGHT_LOAD / 2 / WEIGHTS  # scores this close are a tie for a key that no own table holds
+FRESH = SECOND // 2  # a report this young tells of the load as it is
+ASK_WAIT = 40 * MS  # a request waits this long for the reports asked for it
 READERS_PER_HOME = 6  # a shared beginning gets one home for so many readers, in powers of two
 
 SWEEP = 50 * MS  # how often held and waiting requests are looked at while there are any
@@ -154,6 +156,7 @@
     over_share: bool  # its tenant has used up its quota here
     session: str
     keys: tuple[tuple[str, int], ...]  # of the prefix table, with the tokens each covers, widest shared first
+    beside: str  # key of the reader that may take it instead of the first key's
     prompt: int
     wanted: float  # time from the arrival to a first token of full worth
     arrived: int
@@ -172,6 +175,8 @@
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
     stands_since: int = 0  # when the last attempt ended: a state waits with none out since
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
+    pair: tuple[str, ...] = ()  # readers that were asked for their reports before the first send
+    asked_at: int = 0
     ran_on: str = ""  # first server where it may have run
     ran_at: int = 0
 
@@ -328,16 +333,23 @@
                    or self._usable(whole, request))
         if not servers:
             return None
+        if not request.attempts and self._asks():
+            if not request.pair:
+                self._ask(request, servers)
+            if any(self._awaited(request, name) for name in request.pair):
+                return None
+            servers = [s for s in servers if s.name in request.pair] or servers
         # Exception (pile-up): a reader whose queue takes much of the aim does not compete while another's
         # does not; kept prefixes would draw ever more to it.
         covered = {s.name: self._covered(s, request) for s in servers}
         scores = self._scores(request, servers, covered)
         wait = self._writers_wait() + self.now - request.arrived
-        work = {s.name: s.work_out + max(request.prompt - covered[s.name], BLOCK) for s in servers}
+        work = {s.name: self._backlog(s) + max(request.prompt - covered[s.name], BLOCK) for s in servers}
         expected = {s.name: (wait + self._read_time(s, work[s.name])) / request.aim() for s in servers}
         first = self._best_reader(request, servers, scores, covered)
         if expected[first.name] > CROWDED:
-            servers = [s for s in servers if expected[s.name] <= CROWDED] or servers
+            servers = ([s for s in servers if expected[s.name] <= CROWDED]
+                       or [min(servers, key=lambda s: expected[s.name])] * bool(request.pair) or servers)
         best = self._best_reader(request, servers, scores, covered)
         request.expected = expected[best.name]
         return best
@@ -348,10 +360,36 @@
             # Exception (unknown key): no own table holds it, so what scores about the same is a tie for the
             # hash of the key alone, and routers that share nothing send it to one reader.
             least = max(scores[s.name] for s in servers) - NEAR
-            near = [s for s in servers if scores[s.name] >= least]
+            near = [s for s in servers if scores[s.name] >= least or s.name in request.pair]
             return max(near, key=lambda s: spread_hash(request.keys[0][0], s.name))
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
+    def _asks(self) -> bool:
+        """Whether readers are asked for their reports: where so many routers share so many that none hears enough."""
+        return (self.homes > 1 and self.settings.may_probe
+                and self.settings.report_source is api.ReportSource.ANSWERS)
+
+    def _ask(self, request: Request, servers: list[Server]) -> None:
+        """Ask the reader of the first key and one beside it, where they have not told their load just now."""
+        first = max(servers, key=lambda s: spread_hash(request.keys[0][0], s.name))
+        pair = [first, *sorted((s for s in servers if s is not first),
+                               key=lambda s: -spread_hash(request.beside, s.name))[:1]]
+        request.pair, request.asked_at = tuple(s.name for s in pair), self.now
+        self.actions += [api.Probe(s.name) for s in pair if not self._fresh(s)]
+
+    def _fresh(self, server: Server) -> bool:
+        return server.report is not None and self.now - server.report_at <= FRESH
+
+    def _awaited(self, request: Request, name: str) -> bool:
+        server = self.servers.get(name)
+        return (server is not None and not self._fresh(server) and not self._paused(server, ALL)
+                and self.now < request.asked_at + ASK_WAIT)
+
+    def _backlog(self, server: Server) -> float:
+        """Tokens to be read there, other routers' too where a report tells of them just now."""
+        load = self._read_load(server) if self._asks() and self._fresh(server) else None
+        return max(server.work_out, (load or 0.0) * server.weight)
+
     def _choose_writer(self, request: Request, cell: int | None) -> Server | None:
         servers = (self._usable(self.pools[Role.WRITER], request)
                    or self._usable(self.pools[Role.MIXED], request))
@@ -445,6 +483,8 @@
         self._take_report(server, event.report)
         if server is not None and event.outcome is not Outcome.SERVED:
             self._eject(server, event.outcome.value)
+        for name in [n for n in self.held if event.server in self.requests[n].pair]:
+            self._advance(self.requests[name])
 
     def _take_report(self, server: Server | None, report: api.LoadReport | None) -> None:
         if server is not None and report is not None:
@@ -459,15 +499,18 @@
         since, self.arrived_at = self.arrived_at or self.now, self.now
         self.interval += SMOOTH * (self.now - since - self.interval)
         keys = [(f"session {event.session}", event.prompt_tokens)] if event.session else []
+        beside = keys[0][0] if keys else event.request
         if event.shared_beginning is not None:
             # A beginning has one key for each of its homes, so that a popular one does not bury one reader.
             home = crc32(event.session.encode()) % self.homes
             keys.insert(0, (f"beginning {home} {event.shared_beginning}", event.shared_tokens))
+            other = home ^ (1 + crc32(event.session[::-1].encode()) % max(1, self.homes - 1))
+            beside = f"beginning {other} {event.shared_beginning}"
         cls = self.settings.classes[event.class_index]
         wanted = cls.first_token_aim + cls.aim_per_1000_tokens * event.prompt_tokens / 1000.0
         request = Request(
             event.request, cls, event.class_index, self._over_share(event.tenant), event.session,
-            tuple(keys or [(event.request, 0)]), event.prompt_tokens, wanted,
+            tuple(keys or [(event.request, 0)]), beside, event.prompt_tokens, wanted,
             self.now, self.now + event.time_left)
         self.requests[request.name] = request
         self._advance(request)
@@ -561,6 +604,7 @@
         request.writing = phase is Phase.WRITING
         server.waiting[request.name] = self.now
         request.work = 0.0
+        before = self._backlog(server)
         if phase is Phase.READING or not request.reader:
             request.work = float(max(request.prompt - self._covered(server, request), BLOCK))
             self.prompt_work.add(request.work, 1.0)
@@ -568,7 +612,7 @@
                 server.table.learn(key, min(tokens, request.prompt), self.now)
             server.work_out += request.work
         fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
-        request.queue = server.work_out + fixed if request.work else len(server.waiting)
+        request.queue = max(server.work_out, before + request.work) + fixed if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
@@ -702,6 +746,15 @@
 
         Covers hung and silent servers and answers that are lost.  In an overload all are late: calls off
         are paid for by timely outcomes, so that work is not doubled then."""
+        if self._asks() and not request.writing:
+            if request.asked_at <= request.sent and not self._fresh(server):
+                request.asked_at, request.due = self.now, self.now + ASK_WAIT
+                self.actions.append(api.Probe(server.name))
+                return
+            if self._busy(server, request):
+                request.asked_at = 0
+                self._set_due(request, server)
+                return
         self._set_due(request, server)
         again = request.cls.effect is Effect.SAFE or not request.writing
         steps = 1 if request.reader or request.writing and not request.work else 2
@@ -716,6 +769,13 @@
         if server.late > 1:
             self._eject(server, "silent")
 
+    def _busy(self, server: Server, request: Request) -> bool:
+        """Whether its own report, just heard, tells of work that takes its time."""
+        if not self._fresh(server) or server.report is None:
+            return False
+        pace = self.latency[server.role].pace()
+        return (server.report.waiting_tokens or 0.0) * pace > QUICK * request.wanted
+
     def _sweep(self) -> None:
         if self.subscribe_at and self.subscribe_at <= self.now:
             self.subscribe_at = 0
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -91,6 +91,8 @@
         self.world, self.name, self.role = world, name, role
         self.faults: deque[str] = deque()
         self.release_delay = 0.0
+        self.load = REPORT
+        self.deaf = False  # probes are not answered
         super().__init__()
 
     def request(self, sock: socket.socket, head: http1.RequestHead, body: bytes) -> None:
@@ -102,6 +104,10 @@
             with world.lock:
                 world.held.pop(request, None)
             sock.sendall(writer.response(204, []))
+        elif head.path == "/metrics/load":
+            world.note("probe", self.name, "")
+            if not self.deaf:
+                sock.sendall(writer.response(200, [("X-Backend-Load", self.load)], self.load.encode()))
         elif job == "/kv/leases":
             world.note("place", self.name, request)
             with world.lock:
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,123 @@
+"""Readers asked for their load before a prompt is sent, and before one that is late is sent again."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from stonetrack import api
+from stonetrack.logic import ASK_WAIT, FRESH, MS
+from tests.bed import CLASS, READER, SETTINGS, WRITER, Bed, entry, of, only
+
+MANY = (*(entry(f"r{n}", READER) for n in range(12)), *(entry(f"w{n}", WRITER) for n in range(4)))
+ASKING = replace(SETTINGS, may_probe=True, report_source=api.ReportSource.ANSWERS, routers=200)
+
+
+def told(bed: Bed, server: str, waiting: float) -> list[api.Action]:
+    report = api.LoadReport(1.0, 0.0, 0.1, waiting)
+    return bed.give(api.ProbeEnded(server, api.Outcome.SERVED, 2 * MS, report))
+
+
+def learnt(settings: api.Settings = ASKING) -> Bed:
+    """A router that knows how long a read takes: 1,600 tokens in 0.1 s."""
+    bed = Bed(settings, MANY)
+    for n in range(4):
+        for probe in of(bed.ask(f"warm{n}"), api.Probe):
+            sent = of(told(bed, probe.server, 0.0), api.Send)
+        bed.serve(bed.read(sent[0]))
+    bed.wait(2 * FRESH)
+    return bed
+
+
+def asked(bed: Bed, name: str, **more: object) -> tuple[str, str]:
+    """The pair that is asked; nothing is sent meanwhile."""
+    got = bed.ask(name, **more)  # type: ignore[arg-type]
+    assert not of(got, api.Send)
+    first, second = (probe.server for probe in of(got, api.Probe))
+    return first, second
+
+
+@pytest.mark.parametrize(("loads", "chosen"), [
+    ((0.0, 0.0), 0),
+    ((3_000.0, 0.0), 0),  # its home, while that takes little of the aim
+    ((40_000.0, 0.0), 1),
+    ((30_000.0, 40_000.0), 0),  # both take long: the lighter
+    ((40_000.0, 30_000.0), 1),
+])  # fmt: skip
+def test_the_one_of_two_that_has_room_gets_it(loads: tuple[float, float], chosen: int) -> None:
+    bed = learnt()
+    pair = asked(bed, "q", beginning="b", shared=800)
+    assert not of(told(bed, pair[0], loads[0]), api.Send)
+    assert only(told(bed, pair[1], loads[1]), api.Send).server == pair[chosen]
+
+
+def test_routers_that_share_nothing_ask_the_same_two() -> None:
+    pairs = set()
+    for router in range(20):
+        bed = Bed(replace(ASKING, router=router), MANY)
+        pairs.add(asked(bed, f"q{router}", session="same", beginning="b", shared=800))
+    assert len(pairs) == 1
+
+
+def test_what_is_not_answered_is_not_waited_for() -> None:
+    bed = learnt()
+    first, _ = asked(bed, "q")
+    assert not of(bed.wait(ASK_WAIT - MS), api.Send)
+    assert only(bed.wait(50 * MS), api.Send).server == first
+
+
+def test_a_reader_that_fails_to_answer_is_passed_over() -> None:
+    bed = learnt()
+    first, second = asked(bed, "q")
+    told(bed, second, 0.0)
+    got = bed.give(api.ProbeEnded(first, api.Outcome.TIMED_OUT, 30 * MS))
+    assert only(got, api.Send).server == second
+
+
+def test_a_report_just_heard_is_not_asked_for() -> None:
+    bed = learnt()
+    pair = asked(bed, "q1", session="s")
+    for server in pair:
+        told(bed, server, 0.0)
+    got = bed.ask("q2", session="s")
+    assert not of(got, api.Probe) and only(got, api.Send).server == pair[0]
+
+
+@pytest.mark.parametrize("settings", [
+    replace(ASKING, may_probe=False),
+    replace(ASKING, report_source=api.ReportSource.NONE),
+    replace(ASKING, report_source=api.ReportSource.PROBES),
+])
+def test_nobody_is_asked_where_it_is_of_no_use(settings: api.Settings) -> None:
+    bed = Bed(settings, MANY)
+    assert not [p for p in of(bed.ask("q"), api.Probe) if p.server.startswith("r")]
+
+
+def test_few_readers_are_heard_of_anyway() -> None:
+    few = Bed(ASKING, MANY[:4] + MANY[12:])
+    assert not of(few.ask("q"), api.Probe)
+
+
+@pytest.mark.parametrize(("waiting", "calls"), [(60_000.0, 0), (0.0, 1)])
+def test_a_late_attempt_is_called_off_unless_its_reader_tells_of_work(waiting: float, calls: int) -> None:
+    bed = learnt()
+    for server in asked(bed, "q"):
+        got = told(bed, server, 0.0)
+    server = only(got, api.Send).server
+    cancels = 0
+    for _ in range(24):
+        got = bed.wait(50 * MS)
+        for probe in of(got, api.Probe):
+            assert probe.server == server
+            got = got + told(bed, server, waiting)
+        cancels += len(of(got, api.Cancel))
+    assert cancels == calls
+
+
+def test_a_late_attempt_at_a_silent_reader_is_called_off() -> None:
+    bed = learnt()
+    for server in asked(bed, "q"):
+        got = told(bed, server, 0.0)
+    assert only(got, api.Send)
+    assert of(bed.wait(CLASS.first_token_aim), api.Cancel)
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -16,7 +16,7 @@
 import pytest
 
 from stonetrack.edge.serve import COMING, EdgeNode
-from tests.platform import Platform, ask, headers, node, platform, program
+from tests.platform import REPORT, Platform, ask, headers, node, platform, program
 from tests.rig import Client, wait_for
 
 
@@ -367,3 +367,35 @@
 
         before = some(300, "warm")
         assert some(600, "more") - before < 2_000  # kilobytes; a leaked connection or request is 4 and more each
+
+
+def test_a_prompt_goes_to_the_one_of_two_readers_that_tells_of_room() -> None:
+    """Twelve readers, no more than one of which has room: a request goes there whenever it is one of the two asked."""
+    with platform(12, 1) as world, node(world):
+        client = Client(world.listen)
+        for n in range(4):  # it learns how long a read takes
+            assert ask(client, f"warm{n}")[0].status == 200
+        for engine in world.engines.values():
+            engine.load = "TEXT inflight=9, queue=9, x0=0.1, x1=900"
+        world.engines["r5"].load = REPORT
+        time.sleep(0.6)  # what was heard before is old
+        served = [n for n in range(60) if ask(client, f"q{n}")[0].status == 200]
+        assert {e for n in served for what, e in world.which(f"q{n}") if what == "read"} == {"r5"}
+        assert 3 <= len(served) < 60  # from others it would come too late: refused, nothing is sent
+
+
+def test_a_reader_that_does_not_answer_is_not_waited_for_and_then_left_out() -> None:
+    with platform(12, 1) as world, node(world) as made:
+        world.engines["r3"].deaf = True
+        client = Client(world.listen)
+        for n in range(60):
+            since = time.monotonic()
+            assert ask(client, f"q{n}")[0].status == 200
+            assert time.monotonic() - since < 1.0
+            if made.core.router.servers["r3"].paused:  # type: ignore[attr-defined]
+                break
+        assert made.core.router.servers["r3"].paused  # type: ignore[attr-defined]
+        before = len(world.seen)
+        for n in range(20):
+            assert ask(client, f"after{n}")[0].status == 200
+        assert not [e for _, what, e, _ in world.seen[before:] if what == "read" and e == "r3"]
