--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -256,6 +256,8 @@
             pool[:] = [s for s in self.servers.values() if s.role is role and s.state is ServerState.UP]
         readers, writers = self.pools[Role.READER], self.pools[Role.WRITER]
         self.homes = 1 << max(0, (len(readers) // READERS_PER_HOME).bit_length() - 1)
+        if self._asks():
+            self.homes = max(2, self.homes // 2)  # each session has two of them, so half spread as wide
         reads, writes = Counter(s.cell for s in readers), Counter(s.cell for s in writers)
         for s in writers:
             s.surplus = reads[s.cell] / max(len(readers), 1) * len(writers) / writes[s.cell]
