A router that has read nothing yet compares backlogs, so restarted fleets spread

Checked: the nodes that sent there had just started; latency[READER].count was below 3, where Router._read_time returns 0, so expected was 0 and nothing looked crowded; _busy compared with a pace of 0 and called late reads off. Change: in _choose_reader and _busy, below PACED outcomes backlogs are compared in tokens (a move costs the prompt at most). Tests fail without it.

--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -45,6 +45,7 @@
 QUOTA_SPAN = 4 * SECOND  # a tenant may use this much of its quota at once
 WRITER_WAITS = 200 * MS  # a writer whose first tokens take longer has no room
 COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
+PACED = 3  # outcomes of a role from which its pace is known
 SMOOTH = 0.2  # weight of a new sample in running means
 
 ALL = -1  # stands for every class
@@ -349,6 +350,10 @@
         work = {s.name: self._backlog(s) + max(request.prompt - covered[s.name], BLOCK) for s in servers}
         expected = {s.name: (wait + self._read_time(s, work[s.name])) / request.aim() for s in servers}
         first = self._best_reader(request, servers, scores, covered)
+        if request.pair and self.latency[first.role].count < PACED:
+            # Exception (no pace): after a restart nothing tells how long a backlog takes, so backlogs are compared;
+            # a move costs reading the prompt at most.  Could move for nothing where readers differ in speed.
+            return min(servers, key=lambda s: self._backlog(s) + request.prompt * (s is not first))
         if expected[first.name] > CROWDED:
             servers = ([s for s in servers if expected[s.name] <= CROWDED]
                        or [min(servers, key=lambda s: expected[s.name])] * bool(request.pair) or servers)
@@ -560,7 +565,7 @@
 
     def _read_time(self, server: Server, tokens: float) -> float:
         """Expected time until so many tokens, a read's own among them, are read there."""
-        if (read := self.latency[server.role]).count < 3:
+        if (read := self.latency[server.role]).count < PACED:
             return 0.0
         # A reader's own pace tells of other routers' work there; it fades to the role's.
         pace = read.recent(self.now, self.interval)
@@ -775,8 +780,8 @@
         """Whether its own report, just heard, tells of work that takes its time."""
         if not self._fresh(server) or server.report is None:
             return False
-        pace = self.latency[server.role].pace()
-        return (server.report.waiting_tokens or 0.0) * pace > QUICK * request.wanted
+        waiting, read = server.report.waiting_tokens or 0.0, self.latency[server.role]
+        return waiting > request.prompt if read.count < PACED else waiting * read.pace() > QUICK * request.wanted
 
     def _sweep(self) -> None:
         if self.subscribe_at and self.subscribe_at <= self.now:
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -52,6 +52,29 @@
     assert only(told(bed, pair[1], loads[1]), api.Send).server == pair[chosen]
 
 
+@pytest.mark.parametrize(("loads", "chosen"), [((1_500.0, 0.0), 0), ((1_700.0, 0.0), 1), ((9_000.0, 8_000.0), 0)])
+def test_a_router_that_has_read_nothing_yet_compares_backlogs(loads: tuple[float, float], chosen: int) -> None:
+    """After a restart of all routers at once, else they all crowd the homes: no pace, so nothing looks crowded."""
+    bed = Bed(ASKING, MANY)
+    pair = asked(bed, "q", beginning="b", shared=800, prompt=1_600)
+    told(bed, pair[0], loads[0])
+    assert only(told(bed, pair[1], loads[1]), api.Send).server == pair[chosen]
+
+
+@pytest.mark.parametrize(("waiting", "calls"), [(2_000.0, 0), (1_000.0, 1)])
+def test_a_router_that_has_read_nothing_yet_waits_for_a_reader_with_work(waiting: float, calls: int) -> None:
+    bed = Bed(ASKING, MANY)
+    for server in asked(bed, "q", prompt=1_600):
+        got = told(bed, server, 0.0)
+    cancels = 0
+    for _ in range(24):
+        got = bed.wait(50 * MS)
+        for probe in of(got, api.Probe):
+            got = got + told(bed, probe.server, waiting)
+        cancels += len(of(got, api.Cancel))
+    assert cancels == calls
+
+
 def test_routers_that_share_nothing_ask_the_same_two() -> None:
     pairs = set()
     for router in range(20):
