--- a/stonetrack/edge/budget.py
+++ b/stonetrack/edge/budget.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 FIXED = 24  # standard streams, listener, reserve, epoll, discovery's watch (old and new), the configuration's file
-CALLS = 8  # connections for places and releases
+CALLS = 11  # connections for places, releases and probes: one for each of their threads, and two
 BYTES_A_REQUEST = 200_000  # measured: 60,000 to 90,000 for stack and buffers; and a body
 BASE_BYTES = 18_000_000  # measured: 13 to 14 million for interpreter, imports and tables
 
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -337,6 +337,8 @@
         if not servers:
             return None
         if not request.attempts and self._asks():
+            # Exception (asking): what others send shows in no own count, so the home and one beside it are
+            # asked first.  Covers flushes, hot homes, dead readers.  Costs two probes and a choice of all.
             if not request.pair:
                 self._ask(request, servers)
             if any(self._awaited(request, name) for name in request.pair):
@@ -351,8 +353,8 @@
         expected = {s.name: (wait + self._read_time(s, work[s.name])) / request.aim() for s in servers}
         first = self._best_reader(request, servers, scores, covered)
         if request.pair and self.latency[first.role].count < PACED:
-            # Exception (no pace): after a restart nothing tells how long a backlog takes, so backlogs are compared;
-            # a move costs reading the prompt at most.  Could move for nothing where readers differ in speed.
+            # Exception (no pace): after a restart nothing tells how long a backlog takes, so the backlogs are
+            # compared; a move costs reading the prompt at most.  Could move for nothing where speeds differ.
             return min(servers, key=lambda s: self._backlog(s) + request.prompt * (s is not first))
         if expected[first.name] > CROWDED:
             servers = ([s for s in servers if expected[s.name] <= CROWDED]
@@ -372,7 +374,7 @@
         return max(servers, key=lambda s: (round(scores[s.name], 9), self._tie(s, request)))
 
     def _asks(self) -> bool:
-        """Whether readers are asked for their reports: where so many routers share so many that none hears enough."""
+        """Whether readers are asked for their load: so many that no router hears enough of each."""
         return (self.homes > 1 and self.settings.may_probe
                 and self.settings.report_source is api.ReportSource.ANSWERS)
 
@@ -619,7 +621,8 @@
                 server.table.learn(key, min(tokens, request.prompt), self.now)
             server.work_out += request.work
         fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
-        request.queue = max(server.work_out, before + request.work) + fixed if request.work else len(server.waiting)
+        tokens = max(server.work_out, before + request.work) + fixed
+        request.queue = tokens if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
@@ -754,6 +757,8 @@
         Covers hung and silent servers and answers that are lost.  In an overload all are late: calls off
         are paid for by timely outcomes, so that work is not doubled then."""
         if self._asks() and not request.writing:
+            # Exception (busy): engines read on after a call off: a reader that tells of work is waited for.
+            # Guards against calls off of all routers at once; could wait for one that hangs with work queued.
             if request.asked_at <= request.sent and not self._fresh(server):
                 request.asked_at, request.due = self.now, self.now + ASK_WAIT
                 self.actions.append(api.Probe(server.name))
@@ -781,7 +786,9 @@
         if not self._fresh(server) or server.report is None:
             return False
         waiting, read = server.report.waiting_tokens or 0.0, self.latency[server.role]
-        return waiting > request.prompt if read.count < PACED else waiting * read.pace() > QUICK * request.wanted
+        if read.count < PACED:
+            return waiting > request.prompt
+        return waiting * read.pace() > QUICK * request.wanted
 
     def _sweep(self) -> None:
         if self.subscribe_at and self.subscribe_at <= self.now:
