A backlog has a name of its own in the module's send, as the type check asks

Need: a float was bound to the name of a loop's int (mypy: stonetrack/logic.py:624). Change: the name. No decision changes.

--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -621,8 +621,8 @@
                 server.table.learn(key, min(tokens, request.prompt), self.now)
             server.work_out += request.work
         fixed = self.prompt_work.pace()  # a read's fixed part, taken as that of one mean prompt
-        tokens = max(server.work_out, before + request.work) + fixed
-        request.queue = tokens if request.work else len(server.waiting)
+        backlog = max(server.work_out, before + request.work) + fixed
+        request.queue = backlog if request.work else len(server.waiting)
         if phase is Phase.WRITING:
             self._drop_place(request)
             server.streams += 1
