Tests ask in one place whether a node is up

Need: tests/test_deploy.py wrote Program._up of tests/platform.py again. Change: one function, up, serves both.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -282,6 +282,18 @@
         made.stop()
 
 
+def up(port: int) -> bool:
+    """Whether a node answers there that it serves."""
+    try:
+        client = Client(port, 1.0)
+    except OSError:
+        return False
+    client.ask(b"", "/up", "GET")
+    status = client.answer()[0].status
+    client.sock.close()
+    return status == 200
+
+
 class Program:
     """The program itself, with a configuration in a file."""
 
@@ -290,18 +302,7 @@
         self.path.write_bytes(world.config())
         env = {**os.environ, "EDGE_CONFIG": str(self.path)}
         self.process = subprocess.Popen([sys.executable, "-m", "stonetrack", "edge"], env=env, stderr=subprocess.PIPE)
-        assert wait_for(lambda: self._up(world.listen)), "not up in time"
-
-    @staticmethod
-    def _up(port: int) -> bool:
-        try:
-            client = Client(port, 1.0)
-        except OSError:
-            return False
-        client.ask(b"", "/up", "GET")
-        status = client.answer()[0].status
-        client.sock.close()
-        return status == 200
+        assert wait_for(lambda: up(world.listen)), "not up in time"
 
     def signal(self, number: signal.Signals) -> None:
         self.process.send_signal(number)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from tests.platform import ask, platform
+from tests.platform import ask, platform, up
 from tests.rig import Client, wait_for
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -72,17 +72,6 @@
     return command.replace(".venv/bin/python ", f"{sys.executable} ")
 
 
-def up(port: int) -> bool:
-    try:
-        client = Client(port, 1.0)
-    except OSError:
-        return False
-    client.ask(b"", "/up", "GET")
-    status = client.answer()[0].status
-    client.sock.close()
-    return status == 200
-
-
 def test_run_is_one_process_on_tcp_over_ipv4_that_starts_and_writes_nothing(tmp_path: Path) -> None:
     with platform() as world:
         config, private = tmp_path / "config.json", tmp_path / "private"
