A state counts from the last attempt that reached an engine; none goes for clients gone

Router._attempt_ended set stands_since at every end, also of attempts whose connection never came up. Change: connections that failed do not restart the state's time, and it is released before a send, not after; the client is looked at right before an attempt's first byte; releases go to the engine that answered last; a silent watch is opened anew within 6 s though one call fails in between.

--- a/stonetrack/edge/calls.py
+++ b/stonetrack/edge/calls.py
@@ -65,9 +65,9 @@
         """Forget engines that are not among these."""
         self.suspects = {name: until for name, until in self.suspects.items() if name in names}
 
-    def kept(self, engine: Engine) -> int:
-        """Idle connections to an engine."""
-        return self._pool.kept(engine.host, engine.port)
+    def heard(self, engine: Engine) -> float:
+        """Monotonic time in seconds at which an engine last answered on the shared pool; 0 for never."""
+        return self._pool.heard(engine.host, engine.port)
 
     def call(self, engine: Engine, message: bytes, timeout: float) -> Answer:
         """One call's answer.  Raises OSError; the engine then counts as suspect for a while."""
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -1,7 +1,8 @@
 """Places asked for and all that is held let go of: ``POST`` and ``DELETE /kv/leases/ID``, in the background.
 
 A release names the request alone and any engine carries it out for all, so it goes to whichever is likeliest to hear
-it: one with a kept connection that has not failed of late, another at each further try, until one answers.
+it: the one that answered anything last and has not failed since, another at each further try, until one answers.  Kept
+connections say less: they are most where engines fell silent, since nothing that was sent there came back to use them.
 
 Order.  A release that is decided before an attempt reaches an engine before it: one that came during the new read would
 let go of what that reads (seen: 3 of 5 reads done anew ended at the writer as 410).  So an attempt that has its
@@ -53,12 +54,12 @@
     let_go: bool = False  # the request was let go of meanwhile
 
 
-def pick(engines: list[Engine], kept: Callable[[Engine], int], suspects: dict[str, int], now: int,
+def pick(engines: list[Engine], heard: Callable[[Engine], float], suspects: dict[str, int], now: int,
          tries: int) -> Engine | None:  # fmt: skip
-    """The engine for a release's n-th try: those that answered first, with kept connections first among them."""
+    """The engine for a release's n-th try: not one that failed of late, up, and the last that answered anything."""
     if not engines:
         return None
-    ranked = sorted(engines, key=lambda e: (suspects.get(e.name, 0) > now, not e.up, -kept(e)))
+    ranked = sorted(engines, key=lambda e: (suspects.get(e.name, 0) > now, not e.up, -heard(e)))
     return ranked[tries % len(ranked)]
 
 
@@ -188,7 +189,7 @@
 
     def _release(self, item: Item) -> Heard:
         engines = list(self._engines.values())
-        engine = pick(engines, self._calls.kept, self._calls.suspects, self._clock(), item.tries - 1)
+        engine = pick(engines, self._calls.heard, self._calls.suspects, self._clock(), item.tries - 1)
         if engine is None:
             return Heard.AGAIN
         try:
--- a/stonetrack/edge/watch.py
+++ b/stonetrack/edge/watch.py
@@ -1,8 +1,11 @@
 """Follows discovery on a thread of its own: one answer in chunks, a JSON object on each line.
 
-A watch that shows nothing for ``SILENT`` seconds, not even an empty line, is dead, however open it looks; it is begun
-anew after the version held, after a pause that doubles and is drawn around that.  While discovery is down what is known
-stays in force.  :meth:`Watch.move` follows another address: at once, asking for what was missed.
+A watch that shows nothing for ``SILENT`` seconds, not even an empty line, is broken, however open it looks; it is begun
+anew after the version held, after a pause that doubles and is drawn around that.  A change counts as told 6 s after the
+agent had it, whatever call failed meanwhile, so what is left of those 6 s has to hold a failed call or two: two empty
+lines may be missing, not more, and a new watch that is not answered at once, as the agent answers, is given up.  Calls
+to the agent cost nothing (it is on the node's own machine), so it is asked again soon.  While discovery is down what is
+known stays in force.  :meth:`Watch.move` follows another address: at once, asking for what was missed.
 """
 
 from __future__ import annotations
@@ -18,9 +21,10 @@
 from stonetrack.wire.errors import ProtocolError
 
 PATH = "/discovery/hosts"
-SILENT = 5.0  # seconds; an empty line comes every 2
-CONNECT = 1.0
-FIRST_PAUSE, LONGEST_PAUSE = 0.05, 1.0
+SILENT = 4.2  # seconds; an empty line comes every 2
+ANSWER = 0.5  # seconds for the first byte of a new watch; the agent answers at once
+CONNECT = 0.5  # seconds
+FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25
 _LIMITS = http1.Limits(head=16_384, headers=64, body=1 << 40)  # a watch lasts for as long as its connection
 _LINE = 4 << 20  # bytes of one document
 
@@ -97,12 +101,12 @@
                 return
             self._sock = sock
         try:
-            sock.settimeout(SILENT)
+            sock.settimeout(ANSWER)
             after = f"&after={self._rev()}" if self._rev() >= 0 else ""
             sock.sendall(writer.request("GET", f"{PATH}?watch=1{after}", [("Host", f"{host}:{port}")]))
             self._read(sock)
         except TimeoutError:
-            raise ConnectionError(f"nothing for {SILENT:g} s") from None
+            raise ConnectionError(f"nothing for {sock.gettimeout():g} s") from None
         finally:
             with self._lock:
                 self._sock = None
@@ -112,6 +116,7 @@
         reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
         line, first = bytearray(), True
         while data := sock.recv(65_536):
+            sock.settimeout(SILENT)
             for event in reader.feed(data):
                 if isinstance(event, http1.ResponseHead) and event.status != 200:
                     raise ConnectionError(f"it answered {event.status}")
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -67,6 +67,7 @@
         self.rest = Rest()
         self._lock = threading.Lock()
         self._kept: dict[tuple[str, int], deque[tuple[socket.socket, float]]] = {}
+        self._heard: dict[tuple[str, int], float] = {}  # when an answer was last read to its end, by address
         self.opened = 0
         self.reused = 0
 
@@ -105,6 +106,7 @@
         """Keep a connection whose last answer was read to its end."""
         now = time.monotonic()
         with self._lock:
+            self._heard[host, port] = now
             kept = self._kept.setdefault((host, port), deque())
             kept.append((sock, now))
             self._count += 1
@@ -149,6 +151,10 @@
         """Idle connections to an address."""
         return len(self._kept.get((host, port), ()))
 
+    def heard(self, host: str, port: int) -> float:
+        """Monotonic time in seconds at which an answer of this address was last read to its end; 0 for never."""
+        return self._heard.get((host, port), 0.0)
+
     def prune(self) -> None:
         """Close what has been idle for too long, or by the engine; to be called now and then."""
         now = time.monotonic()
@@ -180,6 +186,7 @@
         """Close what goes to other addresses."""
         with self._lock:
             self.keeping.forget(keep)
+            self._heard = {address: at for address, at in self._heard.items() if address in keep}
             gone = [address for address in self._kept if address not in keep]
             stale = [sock for address in gone for sock, _ in self._kept.pop(address)]
             self._count -= len(stale)
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -50,6 +50,7 @@
 
 ALL = -1  # stands for every class
 UNPROVEN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)  # it may have run
+UNREACHED = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # nothing of the attempt was at any engine
 
 
 class Phase(Enum):
@@ -174,7 +175,7 @@
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
-    stands_since: int = 0  # when the last attempt ended: a state waits with none out since
+    stands_since: int = 0  # when the last attempt that reached an engine ended: a state waits since then
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
     pair: tuple[str, ...] = ()  # readers that were asked for their reports before the first send
     asked_at: int = 0
@@ -586,6 +587,10 @@
         steps = 1 if request.reader or whole else 2
         if left <= ANSWER_MARGIN or request.attempts + steps > self.settings.max_attempts:
             return self._give_up(request)
+        if request.reader and self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
+            # Also before a send that may not reach its engine: the state would stand on for as long as that takes.
+            self._release(request)
+            return self._advance(request)
         if request.reader:
             reader = self.servers.get(request.reader)
             # The answer to a place may be lost; a state that moved there exists nowhere else.
@@ -593,8 +598,6 @@
             writer = place[0] if place else self._choose_writer(request, reader.cell if reader else None)
             if writer is not None:
                 return self._send(request, writer, Phase.WRITING)
-            if self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
-                self._release(request)
         else:
             server = self._choose_reader(request)
             worth = request.cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
@@ -700,7 +703,9 @@
         request = self.requests.get(event.request)
         if request is None or request.attempts != event.attempt or not request.server:
             return
-        request.attempts, request.stands_since = request.attempts + 1, self.now
+        request.attempts += 1
+        if event.outcome not in UNREACHED:
+            request.stands_since = self.now
         self.out.pop(request.name, None)
         ended = event.finished or request.phase is Phase.ENDED
         if server is not None:
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -264,12 +264,28 @@
             self.progress = self.core.clock()
 
     def _start(self, server: str, number: int, state: Any, place: bool) -> None:
-        started = self.engines.start(self.life.ask, server, number, state, place, self.core.may_send)
+        started = self.engines.start(self.life.ask, server, number, state, place, self._may_send)
+        if self._client_left():
+            self._lost(self.core.clock())  # told first: else the router would try the next engine for nobody
         if isinstance(started, Over):
             self.late.append(started)
         else:
             self.attempt = started
 
+    def _may_send(self, server: str) -> bool:
+        """Whether an attempt may still begin: asked right before its first byte, since connecting takes time in which
+        the client may leave and the list may close the engine."""
+        return not self._client_left() and self.core.may_send(server)
+
+    def _client_left(self) -> bool:
+        """Whether the client has closed its connection or its sending side, seen or not yet seen by :meth:`_wait`."""
+        client = self.sink.fileno()
+        if self.life.gone or client < 0:
+            return True
+        poller = select.poll()
+        poller.register(client, select.POLLRDHUP)
+        return any(mask & _LEFT for _, mask in poller.poll(0))
+
     def _hold(self, server: str) -> None:
         request, number, core = self.life.ask.request, self.life.number, self.core
         self.engines.hold(request, server, number, lambda held: core.tell(PlaceAnswer(request, number, server, held)))
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -327,6 +327,28 @@
     assert bed.router.servers[again.server].role is api.Role.READER and again.server != send.server
 
 
+def test_a_state_is_let_go_of_in_time_though_its_attempts_never_reach_a_writer() -> None:
+    """Connections that never come up leave the state with no attempt at any engine; it has to go all the same."""
+    bed = Bed(replace(SETTINGS, connect_timeout=250 * MS, release_within=500 * MS), FLEET)
+    send = bed.read(only(bed.ask("q"), api.Send))
+    read_at = bed.now
+    attempt = 1
+    while not of(bed.actions, api.Release):
+        assert bed.now - read_at <= 500 * MS and send.server[0] == "w"
+        got = bed.end(send, api.Outcome.CONNECT_FAILED, attempt, 250 * MS)
+        attempt += 1
+        send = next((each for each in reversed(of(got, api.Send))), send)
+    assert attempt == 3  # a second writer was tried: one that is dead does not cost the state
+    assert bed.now - read_at == 500 * MS and send.server[0] == "r"  # and it is read anew at once
+
+
+def test_a_state_counts_from_the_last_attempt_that_reached_an_engine() -> None:
+    bed = Bed(replace(SETTINGS, connect_timeout=250 * MS, release_within=500 * MS), FLEET)
+    send = bed.read(only(bed.ask("q"), api.Send))
+    send = only(bed.end(send, api.Outcome.ERROR, 1, 2 * SECOND), api.Send)
+    assert send.server[0] == "w" and not of(bed.actions, api.Release)
+
+
 def test_many_routers_together_do_not_push_a_cold_server_over() -> None:
     """All routers' sends to one cold server, each router seeing a request or two; and to a cold writer."""
     routers, each, size = 100, 6, 4
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from typing import Any
 
 import pytest
@@ -10,7 +11,8 @@
 from hypothesis import strategies as st
 
 from stonetrack import api
-from stonetrack.edge import asks, budget, config, exchange, hosts
+from stonetrack.edge import asks, budget, calls, config, exchange, hosts, leases, watch
+from stonetrack.engines.pool import Pool
 from stonetrack.node.ports import Began, Over, Passed
 from stonetrack.wire import http1
 
@@ -243,3 +245,37 @@
     """A third of the descriptors, less what is fixed: with fewer, half of a calm day was refused."""
     shares = budget.divide(256, memory)
     assert shares.requests >= (256 - budget.FIXED - budget.CALLS) // 3 and shares.clients > shares.requests
+
+
+def test_a_release_goes_to_the_engine_that_answered_last() -> None:
+    """Not to one that fell silent with connections kept to it: each try there costs its whole time-out."""
+    engines = [hosts.Engine(name, "10.0.0.1", n, READER, up) for n, (name, up) in enumerate(
+        (("silent", True), ("answers", True), ("failed", True), ("drains", False), ("unheard", True)))]  # fmt: skip
+    heard = {"silent": 5.0, "answers": 9.0, "failed": 9.5, "drains": 9.9}
+    order = [leases.pick(engines, lambda e: heard.get(e.name, 0.0), {"failed": 20}, 10, n) for n in range(6)]
+    names = [engine.name for engine in order if engine is not None]
+    assert names == ["answers", "silent", "unheard", "drains", "failed", "answers"]
+    assert leases.pick([], lambda e: 0.0, {}, 0, 0) is None
+
+
+def test_connections_kept_to_a_silent_engine_do_not_draw_releases_there() -> None:
+    silent, answers = (hosts.Engine(name, "10.0.0.1", n, READER, True) for n, name in enumerate(("silent", "answers")))
+    pool = Pool(4, 60.0)
+    called = calls.Calls(pool, lambda: 0, 0.25)
+    for engine in (silent, silent, silent, answers):
+        ours, theirs = socket.socketpair()
+        theirs.close()
+        pool.give(engine.host, engine.port, ours)
+    assert pool.kept(silent.host, silent.port) == 3
+    assert leases.pick([silent, answers], called.heard, {}, 0, 0) is answers
+    pool.forget({(silent.host, silent.port)})
+    assert called.heard(answers) == 0.0 < called.heard(silent)
+    pool.close()
+
+
+def test_a_watch_that_falls_silent_is_open_anew_within_6_s_though_a_call_fails() -> None:
+    """The protocol: an empty line every 2 s, and what the agent has counts as told 6 s later, whatever failed."""
+    line, told = 2.0, 6.0
+    pauses = 1.5 * (watch.FIRST_PAUSE + 2 * watch.FIRST_PAUSE)
+    assert 2 * line < watch.SILENT  # two lines may be late
+    assert watch.SILENT + watch.CONNECT + watch.ANSWER + pauses < told - 0.25
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -16,7 +17,7 @@
 import pytest
 
 from stonetrack import api
-from stonetrack.edge import asks, hosts
+from stonetrack.edge import asks, hosts, watch
 from stonetrack.edge.calls import Answer, Calls
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.leases import Leases, Settled
@@ -26,7 +27,8 @@
 from stonetrack.engines.pool import Pool
 from stonetrack.logic import MS, SECOND
 from stonetrack.node.ports import Ask, Over
-from tests.platform import REPORT, Platform, ask, headers, node, platform, program
+from stonetrack.wire import writer
+from tests.platform import CHAT, REPORT, Platform, ask, headers, node, platform, program
 from tests.rig import Client, wait_for
 
 
@@ -229,6 +231,43 @@
         assert wait_for(lambda: at_rest(made)) and wait_for(lambda: not world.held)
 
 
+@pytest.mark.parametrize("further", [False, True])
+@pytest.mark.parametrize("leave", ["close", "half close"])
+def test_no_attempt_begins_for_a_client_that_left_while_its_engine_was_connected_to(
+    further: bool, leave: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Connecting may take all of its time; what is sent after that serves nobody, first attempt or further one."""
+    with platform(2, 1) as world, node(world) as made:
+        take, connecting, left = made.pool.take, threading.Event(), threading.Event()
+        ports = {engine.port: name for name, engine in world.engines.items()}
+        failed: list[str] = []
+        if further:
+            for name in ("r0", "r1"):
+                world.engines[name].faults.append("500")
+
+        def slowly(host: str, port: int, timeout: float) -> tuple[socket.socket, float | None]:
+            reader = ports[port][0] == "r"
+            if reader and (not further or failed):
+                connecting.set()
+                assert left.wait(5.0)
+            failed.extend([ports[port]] if reader else [])
+            return take(host, port, timeout)
+
+        monkeypatch.setattr(made.pool, "take", slowly)
+        client = Client(world.listen)
+        client.ask(b"{}", CHAT, headers=headers("q"))
+        assert connecting.wait(5.0)
+        before = [what for what, _ in world.which("q")].count("read")
+        if leave == "close":
+            client.close()
+        else:
+            client.sock.shutdown(socket.SHUT_WR)
+        time.sleep(0.02)
+        left.set()
+        assert wait_for(lambda: at_rest(made))
+        assert [what for what, _ in world.which("q")].count("read") == before == int(further)
+
+
 def test_silent_clients_by_hundreds_keep_no_usual_client_out() -> None:
     with platform() as world, node(world) as made:
         silent = []
@@ -466,3 +505,36 @@
         for n in range(20):
             assert ask(client, f"after{n}")[0].status == 200
         assert not [e for _, what, e, _ in world.seen[before:] if what == "read" and e == "r3"]
+
+
+def test_a_watch_that_is_not_answered_is_given_up_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first falls silent after its list, the next is taken and never answered; the third tells what was missed.
+
+    All times are a tenth of the protocol's."""
+    for name in ("SILENT", "ANSWER", "CONNECT", "FIRST_PAUSE", "LONGEST_PAUSE"):
+        monkeypatch.setattr(watch, name, getattr(watch, name) / 10)
+    listener, asked, documents = socket.create_server(("127.0.0.1", 0)), [], []
+    head = writer.streamed(200, [("Content-Type", "application/json")])
+
+    def agent() -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = listener.accept()
+                sock.recv(4_096)
+                asked.append((time.monotonic(), sock))
+                if len(asked) != 2:
+                    sock.sendall(head + writer.chunk(b'{"rev":%d}\n' % len(asked)))
+
+    threading.Thread(target=agent, daemon=True).start()
+    address = ("127.0.0.1", listener.getsockname()[1])
+    follower = watch.Watch(address, lambda: 1, lambda data, first: documents.append(data), lambda text: None)
+    follower.start()
+    try:
+        assert wait_for(lambda: len(documents) == 2, 5.0)
+        assert documents == [b'{"rev":1}', b'{"rev":3}']
+        assert asked[2][0] - asked[0][0] < 0.6
+    finally:
+        follower.stop()
+        listener.close()
+        for _, sock in asked:
+            sock.close()
