A place that its writer knows no read for is released while the read is out

Change: the answer is passed on as unknown; the router releases then, if the read it was for is still out. Tests fail without it.

--- a/stonetrack/api.py
+++ b/stonetrack/api.py
@@ -212,12 +212,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PlaceAnswer:
-    """A writer's answer to a place asked ahead."""
+    """A writer's answer to a place asked ahead; ``held`` is None where it was not heard, or told of no read: a place
+    may be held all the same."""
 
     request: str
     attempt: int
     server: str
-    held: bool
+    held: bool | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -231,6 +231,18 @@
         assert wait_for(lambda: at_rest(made)) and wait_for(lambda: not world.held)
 
 
+def test_a_place_is_let_go_of_though_its_read_went_out_on_a_silent_connection() -> None:
+    with platform(2, 1) as world, node(world):
+        world.place_status = 204
+        for name in ("r0", "r1"):
+            world.engines[name].faults.extend(["hang"] * 4)
+        client = Client(world.listen)
+        client.ask(b"{}", CHAT, headers=headers("q"))
+        assert wait_for(lambda: "place" in [what for what, _ in world.which("q")])
+        assert wait_for(lambda: "q" not in world.held, 0.5)
+        client.close()
+
+
 @pytest.mark.parametrize("further", [False, True])
 @pytest.mark.parametrize("leave", ["close", "half close"])
 def test_no_attempt_begins_for_a_client_that_left_while_its_engine_was_connected_to(
