Discovery's objects are read whole however they are laid out, indented ones too

Cause, from the code: Watch._read cut at each line end and handed every line on as a document, so an indented object was refused line by line and its changes were never told. Change: edge/documents.py counts braces outside strings and hands on whole objects; one that is cut off is handed on at the next empty line and refused there, and what follows is read. Measured: tests with lists in lines and indented, in pieces of 1, 7 and all bytes, pass and did not before.

--- a/stonetrack/edge/watch.py
+++ b/stonetrack/edge/watch.py
@@ -1,4 +1,4 @@
-"""Follows discovery on a thread of its own: one answer in chunks, a JSON object on each line.
+"""Follows discovery on a thread of its own: one answer in chunks, JSON objects in it (:mod:`.documents`).
 
 A watch that shows nothing for ``SILENT`` seconds, not even an empty line, is broken, however open it looks; it is begun
 anew after the version held, after a pause that doubles and is drawn around that.  A change counts as told 6 s after the
@@ -16,6 +16,7 @@
 import threading
 from collections.abc import Callable
 
+from stonetrack.edge.documents import DocumentError, DocumentReader
 from stonetrack.engines.pool import connect
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
@@ -26,7 +27,6 @@
 CONNECT = 0.5  # seconds
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.25
 _LIMITS = http1.Limits(head=16_384, headers=64, body=1 << 40)  # a watch lasts for as long as its connection
-_LINE = 4 << 20  # bytes of one document
 
 
 class Watch:
@@ -79,7 +79,7 @@
             try:
                 self._follow()
                 pause = FIRST_PAUSE
-            except (OSError, ProtocolError) as error:
+            except (OSError, ProtocolError, DocumentError) as error:
                 if str(error) != self._said:
                     self._said = str(error)
                     self._log(f"discovery at {self._address[0]}:{self._address[1]}: {error}")
@@ -114,7 +114,7 @@
 
     def _read(self, sock: socket.socket) -> None:
         reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
-        line, first = bytearray(), True
+        documents, first = DocumentReader(), True
         while data := sock.recv(65_536):
             sock.settimeout(SILENT)
             for event in reader.feed(data):
@@ -124,13 +124,7 @@
                     return
                 if not isinstance(event, http1.Data):
                     continue
-                line += event.data
-                if len(line) > _LINE:
-                    raise ConnectionError(f"a document over {_LINE} bytes")
-                *whole, rest = line.split(b"\n")
-                line = bytearray(rest)
-                for each in whole:
-                    if each.strip():
-                        self._take(bytes(each), first)
-                        first, self._said = False, ""
+                for each in documents.feed(event.data):
+                    self._take(each, first)
+                    first, self._said = False, ""
         raise ConnectionError("the watch was closed")
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from stonetrack import api
-from stonetrack.edge import asks, budget, calls, config, exchange, hosts, leases, watch
+from stonetrack.edge import asks, budget, calls, config, documents, exchange, hosts, leases, watch
 from stonetrack.engines.pool import Pool
 from stonetrack.node.ports import Began, Over, Passed
 from stonetrack.wire import http1
@@ -233,6 +233,26 @@
     assert whole is not None and whole.kind is api.ListKind.FULL and list(made.engines) == ["s9"] and made.rev == 3
 
 
+@pytest.mark.parametrize("indent", [None, 2, "\t"])
+@pytest.mark.parametrize("step", [1, 7, 100_000])
+def test_a_watch_is_read_in_lines_or_indented_in_pieces_of_any_size(indent: int | str | None, step: int) -> None:
+    told = [{"rev": 1, "all": True, "targets": [target("a"), target('b{["\\')]}, {"rev": 2, "targets": []}]
+    text = "\n" + "\n\n".join(json.dumps(each, indent=indent) for each in told) + "\n\n"
+    reader, got = documents.DocumentReader(), []
+    for at in range(0, len(text), step):
+        got += reader.feed(text.encode()[at : at + step])
+    assert [json.loads(each) for each in got] == told
+
+
+def test_a_document_that_is_cut_off_takes_no_other_along() -> None:
+    reader = documents.DocumentReader()
+    assert reader.feed(b'{"rev":1,"targets":[\n') == []
+    assert reader.feed(b'\n{"rev":2}\n') == [b'{"rev":1,"targets":[', b'{"rev":2}']
+    assert reader.feed(b'}]\n{"rev":3}\n') == [b"}]", b'{"rev":3}']
+    with pytest.raises(documents.DocumentError):
+        reader.feed(b"[" * (documents.MOST + 1))
+
+
 def test_what_cannot_be_used_is_named_and_takes_nothing_along() -> None:
     made = held()
     event = made.take(listing(1, target("s1", model="m9"), target("s2", endpoint="x"), target("s3"), whole=True))
