A release on an unknown place is taken back; an id that comes again is refused

The engines take a release during a read as one of the state that it makes, so cost 1.5% of all reads and is reverted whole. 204 is answered for reads that go well, 60 times for one that does not. Change: ids are remembered for a minute (4,096 at most) and refused when they come again, as open ones already were.

--- a/stonetrack/api.py
+++ b/stonetrack/api.py
@@ -212,13 +212,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlaceAnswer:
-    """A writer's answer to a place asked ahead; ``held`` is None where it was not heard, or told of no read: a place
-    may be held all the same."""
+    """A writer's answer to a place asked ahead."""
 
     request: str
     attempt: int
     server: str
-    held: bool | None
+    held: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -117,7 +117,7 @@
         engine = self._engines.get(server)
         return self.pool.kept(engine.host, engine.port) if engine is not None else 0
 
-    def hold(self, request: str, server: str, number: int, answer: Callable[[bool | None], None]) -> None:
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """See ``ports.Engines.hold``."""
         self.leases.hold(request, server, answer)
 
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -34,13 +34,9 @@
 PATH = "/kv/leases/"
 RELEASE_TIMEOUT, HOLD_TIMEOUT = 0.12, 0.5  # seconds; an engine that can't tell of a place takes 0.3
 SETTLE = 0.06  # seconds for which an attempt waits for an older release of its request
-_HELD = {200: True, 409: False, 204: None, 0: None}  # by status of the answer, 0 for none; None: not known
 _MOST_PLACES = 64  # waiting to be asked for: more than that come too late
 
 
-PlaceHeard = Callable[[bool | None], None]  # whether a writer holds a place, None where that is not known
-
-
 class Settled(Enum):
     """What became of a request's release before its new attempt."""
 
@@ -73,7 +69,7 @@
     def __init__(self, calls: Calls, clock: Callable[[], int], release_within: int, threads: int = 3) -> None:
         self._calls, self._clock = calls, clock
         self._engines: dict[str, Engine] = {}
-        self._jobs: queue.Queue[tuple[str, Engine, _Hold, PlaceHeard] | None] = queue.Queue(_MOST_PLACES)
+        self._jobs: queue.Queue[tuple[str, Engine, _Hold, Callable[[bool], None]] | None] = queue.Queue(_MOST_PLACES)
         self._holding: dict[str, _Hold] = {}
         self._hold_lock = threading.Lock()
         self._releasing = Releasing(clock, release_within, threads, self._release, self._over)
@@ -117,9 +113,8 @@
 
     # Places.
 
-    def hold(self, request: str, server: str, answer: PlaceHeard) -> None:
-        """Ask a writer for a place; ``answer`` gets whether it holds one, None where that is not known, unless the
-        request was let go of meanwhile."""
+    def hold(self, request: str, server: str, answer: Callable[[bool], None]) -> None:
+        """Ask a writer for a place; ``answer`` is called unless it can't be heard or is no longer wanted."""
         engine = self._engines.get(server)
         if engine is None:
             return
@@ -149,8 +144,8 @@
                 let_go = asked.let_go
             if let_go:
                 self._add(request)
-            elif status in _HELD:
-                answer(_HELD[status])
+            elif status in (200, 409):
+                answer(status == 200)
 
     def settle(self, request: str) -> Settled:
         """A new attempt has its connection: see that what was decided before comes before it, or not at all.
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -27,6 +27,7 @@
 from stonetrack.edge.config import Config, ConfigError, parse
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.hosts import Hosts, HostsError
+from stonetrack.edge.ids import SeenIds
 from stonetrack.edge.leases import Leases
 from stonetrack.edge.probes import Probes
 from stonetrack.edge.sink import EdgeSink, whole
@@ -77,7 +78,7 @@
         self.bounds = Bounds(SILENCE, STALL, 64 << 10)
         self.watch = Watch(config.discovery, lambda: self.hosts.rev, self._document, log)
         self._last_call = 0  # monotonic ns from which on requests are refused; 0 for never
-        self._ids: set[str] = set()  # of requests under way
+        self._ids = SeenIds()
         self._ids_lock = threading.Lock()
         self.host = Host(
             listen(*config.listen, 1024),
@@ -163,15 +164,10 @@
         except asks.BadAsk as error:
             return sink.respond(error.status, str(error))
         with self._ids_lock:
-            taken = ask.request in self._ids
-            self._ids.add(ask.request)
-        if taken:
-            return sink.respond(409, f"request {ask.request} is open already")
-        try:
-            life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
-        finally:
-            with self._ids_lock:
-                self._ids.discard(ask.request)
+            new = self._ids.take(ask.request, self.clock())
+        if not new:
+            return sink.respond(409, f"request {ask.request} has come before: every request needs an id of its own")
+        life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
         return sink.keep and not life.gone
 
     # Signals.
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -110,7 +110,7 @@
                 return event
         return attempt
 
-    def hold(self, request: str, server: str, number: int, answer: Callable[[bool | None], None]) -> None:
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """See ``ports.Engines.hold``."""
         self.errands.hold(request, server, number, answer)
 
--- a/stonetrack/engines/errands.py
+++ b/stonetrack/engines/errands.py
@@ -199,7 +199,7 @@
 
     # Places.
 
-    def hold(self, request: str, server: str, number: int, answer: Callable[[bool | None], None]) -> None:
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """Ask a writer for a place; ``answer`` is called unless it can't be heard or is no longer wanted."""
         asked = _Hold(server, number)
         with self._hold_lock:
@@ -208,7 +208,7 @@
             with self._hold_lock:
                 self._holding.pop(request, None)
 
-    def _hold(self, request: str, asked: _Hold, answer: Callable[[bool | None], None]) -> None:
+    def _hold(self, request: str, asked: _Hold, answer: Callable[[bool], None]) -> None:
         with self._hold_lock:
             if asked.dropped:
                 return
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -230,8 +230,8 @@
         elif (request := self.requests.get(event.request)) is not None:
             if isinstance(event, api.RequestGone) and request.phase is not Phase.ENDED:
                 self._end(request)
-            elif isinstance(event, api.PlaceAnswer) and request.place == event.server:
-                self._place_answered(request, event)
+            elif isinstance(event, api.PlaceAnswer) and request.place == event.server and not event.held:
+                self._drop_place(request)
         if not self.timer_set and (self.held or self.out or self.subscribe_at):
             self.timer_set = True
             self.actions.append(api.SetTimer(0, SWEEP))
@@ -641,15 +641,6 @@
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
 
-    def _place_answered(self, request: Request, event: api.PlaceAnswer) -> None:
-        if event.held is None and request.phase is Phase.READING and request.attempts == event.attempt:
-            # Exception (unknown place): the writer knows of no read while one is out here, so its request did not
-            # reach the reader, and a place held stands with no attempt out.  Covers connections that fell silent;
-            # could give up the place of a read that reached its reader late.
-            self._release(request)
-        elif event.held is False:
-            self._drop_place(request)
-
     def _drop_place(self, request: Request) -> None:
         if (writer := self.servers.get(request.place)) is not None:
             writer.streams -= 1
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -204,10 +204,9 @@
         ``may_send`` is asked again right before the first byte is written.
         """
 
-    def hold(self, request: str, server: str, number: int, answer: Callable[[bool | None], None]) -> None:
+    def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """Ask a writer for a place, in the background, during attempt ``number``; ``answer`` gets whether it holds
-        one, None where that is not known.  A place that comes after the request went on is let go of by the
-        engines' side itself."""
+        one.  A place that comes after the request went on is let go of by the engines' side itself."""
 
     def release(self, request: str, reader: str, state: Any, place: str, number: int, rest: bool) -> None:
         """Let go of a state and a place, in the background, with repeats within the time allowed.
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from stonetrack import api
-from stonetrack.edge import asks, budget, calls, config, documents, exchange, hosts, leases, watch
+from stonetrack.edge import asks, budget, calls, config, documents, exchange, hosts, ids, leases, watch
 from stonetrack.engines.pool import Pool
 from stonetrack.node.ports import Began, Over, Passed
 from stonetrack.wire import http1
@@ -277,6 +277,14 @@
     assert shares.requests >= (256 - budget.FIXED - budget.CALLS) // 3 and shares.clients > shares.requests
 
 
+def test_an_id_is_taken_once_and_forgotten_after_a_while() -> None:
+    seen = ids.SeenIds()
+    assert seen.take("a", 0) and not seen.take("a", ids.REMEMBERED) and seen.take("a", ids.REMEMBERED + 1)
+    for n in range(2 * ids.MOST):
+        assert seen.take(f"q{n}", ids.REMEMBERED + 2)
+    assert len(seen) == ids.MOST and not seen.take(f"q{2 * ids.MOST - 1}", ids.REMEMBERED + 3)
+
+
 def test_a_release_goes_to_the_engine_that_answered_last() -> None:
     """Not to one that fell silent with connections kept to it: each try there costs its whole time-out."""
     engines = [hosts.Engine(name, "10.0.0.1", n, READER, up) for n, (name, up) in enumerate(
