--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 
 lint: install-dev
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
 
 types: install-dev
 	$(BIN)/mypy
--- a/benchmarks/account.py
+++ b/benchmarks/account.py
@@ -1,6 +1,6 @@
 """What a node's account costs: requests a second with and without it, in turn in one run; bytes a request and a day.
 
-    .venv/bin/python -m benchmarks.account [--rounds 9] [--seconds 4]
+.venv/bin/python -m benchmarks.account [--rounds 9] [--seconds 4]
 """
 
 from __future__ import annotations
--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -30,7 +30,9 @@
     """New connections an attempt once all is under way; attempts a second; share served."""
     nodes, rest, seed, rate = case
     draw = random.Random(f"{case}")
-    specs = [Spec(name=f"{role[0]}{n}", role=Role(role), cell=n % 2) for role in ("reader", "writer") for n in range(EACH)]
+    specs = [
+        Spec(name=f"{role[0]}{n}", role=Role(role), cell=n % 2) for role in ("reader", "writer") for n in range(EACH)
+    ]
     play = Play(settings(nodes), specs, seed, rest=int(rest * SECOND))
     begin, end = 2.0 * rest + 10.0, 2.0 * rest + 40.0
     asks: list[Ask] = []
--- a/benchmarks/engines.py
+++ b/benchmarks/engines.py
@@ -55,7 +55,9 @@
     heads = [r for r in links if r["what"] == "head" and steady[0] <= r["t"] / SECOND < steady[1]]
     attempts = [r for r in heads if r["path"] == "/v1/chat/completions"]
     at_engine = Counter((r["to"], r["t"] // SECOND) for r in opens)
-    back = [r["t"] / SECOND for r in made.log if r["what"] == "health" and r["said"] == "ready" and r["t"] / SECOND > killed]
+    back = [
+        r["t"] / SECOND for r in made.log if r["what"] == "health" and r["said"] == "ready" and r["t"] / SECOND > killed
+    ]
     first = min(back, default=0.0)
 
     def served(since: float, until: float) -> float:
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -54,7 +54,8 @@
     click.echo(
         f"{title:<22} start {(max(start.values()) - first) / least:5.2f} x least, turned away {s.turned_away / nodes:5.2f}"
         f" a node, bytes {s.bytes / whole / nodes:4.2f} | away {o.per_node_second:5.3f} questions a node and second, "
-        f"{o.worst_second:3d} at worst | back {all_after} x least, turned away {a.turned_away / nodes:5.2f}")
+        f"{o.worst_second:3d} at worst | back {all_after} x least, turned away {a.turned_away / nodes:5.2f}"
+    )
 
 
 @click.command()
--- a/benchmarks/histories.py
+++ b/benchmarks/histories.py
@@ -102,7 +102,13 @@
     if draw.random() < 0.4:
         return {"what": draw.choice(("kill", "stop")), "to": "control", "at": at, "for_s": draw.choice((0.5, 2.0))}
     what = draw.choice(("cut", "cut_there", "cut_back", "reset"))
-    return {"what": what, "to": "control", "of": f"n{draw.randrange(nodes)}", "at": at, "for_s": draw.choice((1.0, 5.0))}
+    return {
+        "what": what,
+        "to": "control",
+        "of": f"n{draw.randrange(nodes)}",
+        "at": at,
+        "for_s": draw.choice((1.0, 5.0)),
+    }
 
 
 def script(nodes: int, seed: int, rate: float, stewards: int = 0, versioned: bool = False) -> str:
@@ -195,8 +201,10 @@
             click.echo(f"seed {seed}: service {service:.3f}, {len(breaches)} breaches, links late {late:.0f} ms")
             for line in (*breaches[:6], *trouble[:3]):
                 click.echo(f"  {line}")
-    click.echo(f"{seeds} histories of {nodes} nodes: service {statistics.median(services):.3f} (median), "
-               f"{min(services):.3f} (worst); histories that broke a rule: {dict(broken)}")
+    click.echo(
+        f"{seeds} histories of {nodes} nodes: service {statistics.median(services):.3f} (median), "
+        f"{min(services):.3f} (worst); histories that broke a rule: {dict(broken)}"
+    )
     for name, values in sorted(nearest.items()):
         click.echo(f"  {name:<20} median {statistics.median(values):.2f}, most {max(values):.2f}")
 
--- a/benchmarks/owning.py
+++ b/benchmarks/owning.py
@@ -131,7 +131,9 @@
             made = play(parse_script(json.dumps(quiet)), 1, Path(folder) / "play")
         calls = [r for r in made.log if r["what"] == "head" and r["to"] == "register" and r["t"] > 5e9]
         worst = max((sum(abs(r["t"] - other["t"]) < 5e7 for other in calls) for r in calls), default=0)
-        click.echo(f"{count} candidates, lease 2 s: {len(calls) / 11 * 60:.0f} calls a minute, {worst} within 100 ms at most")
+        click.echo(
+            f"{count} candidates, lease 2 s: {len(calls) / 11 * 60:.0f} calls a minute, {worst} within 100 ms at most"
+        )
 
 
 def day(seed: int, stewards: bool) -> Played:
@@ -189,13 +191,17 @@
         began = time.time()
         found = explore(bounds)
         whole = "all" if found.whole else "not all"
-        click.echo(f"{name}: {found.states} states ({whole}) in {time.time() - began:.0f} s, broken: {found.broken or 'none'}")
+        click.echo(
+            f"{name}: {found.states} states ({whole}) in {time.time() - began:.0f} s, broken: {found.broken or 'none'}"
+        )
     for less, bounds in (
         (Less.FENCE, small), (Less.MARGIN, small), (Less.BEFORE, small), (Less.SECOND_LOOK, small),
         (Less.DURABLE, replace(small, restarts=1)), (Less.CLAIM, replace(small, back=1)),
     ):  # fmt: skip
         found = explore(bounds, less)
-        click.echo(f"\nwithout {less.name}: {found.states} states, {len(found.history)} steps\n{drawn(found, bounds.owners)}")
+        click.echo(
+            f"\nwithout {less.name}: {found.states} states, {len(found.history)} steps\n{drawn(found, bounds.owners)}"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -109,7 +109,12 @@
         "rules of requests broken": float(len(made.verdict.breaches) if made.verdict is not None else 0),
         "trouble": float(len(made.trouble) + len(made.unclean)),
         **{f"audit: {what}": float(count) for what, count in found.items()},
-    }, [*late[:3], *back[:3], *map(str, made.verdict.breaches[:3] if made.verdict is not None else ()), *made.trouble[:3]]
+    }, [
+        *late[:3],
+        *back[:3],
+        *map(str, made.verdict.breaches[:3] if made.verdict is not None else ()),
+        *made.trouble[:3],
+    ]
 
 
 @click.command()
--- a/stonetrack/api.py
+++ b/stonetrack/api.py
@@ -140,8 +140,12 @@
         """Raise ValueError naming the value that can't be used."""
         for role in [kind.role for kind in self.kinds if not isinstance(kind.role, Role)]:
             raise ValueError(f"unknown role {role!r}")
-        for name, value in (("classes", len(self.classes)), ("kinds", len(self.kinds)),
-                            ("routers", self.routers), ("max_attempts", self.max_attempts)):
+        for name, value in (
+            ("classes", len(self.classes)),
+            ("kinds", len(self.kinds)),
+            ("routers", self.routers),
+            ("max_attempts", self.max_attempts),
+        ):
             if value < 1:
                 raise ValueError(f"settings: {name} must be at least 1, not {value}")
         if not 0 <= self.router < self.routers:
@@ -259,16 +263,7 @@
     report: LoadReport | None = None
 
 
-Event = (
-    ServerList
-    | RequestArrived
-    | FirstToken
-    | PlaceAnswer
-    | AttemptEnded
-    | RequestGone
-    | TimerFired
-    | ProbeEnded
-)
+Event = ServerList | RequestArrived | FirstToken | PlaceAnswer | AttemptEnded | RequestGone | TimerFired | ProbeEnded
 
 
 # Actions
@@ -355,16 +350,4 @@
     text: str
 
 
-Action = (
-    Send
-    | HoldPlace
-    | Release
-    | Refuse
-    | Fail
-    | Cancel
-    | Move
-    | Probe
-    | SetTimer
-    | Subscribe
-    | Log
-)
+Action = Send | HoldPlace | Release | Refuse | Fail | Cancel | Move | Probe | SetTimer | Subscribe | Log
--- a/stonetrack/capture/index.py
+++ b/stonetrack/capture/index.py
@@ -5,7 +5,7 @@
 millisecond.
 
 So a segment's index is five arrays, one entry a block (first number, records, offset, first and last clock), and one
-sorted array of *fingerprints*: 32 bits of each request's hash, beside the number of the block that names it. 
+sorted array of *fingerprints*: 32 bits of each request's hash, beside the number of the block that names it.
 Looking a request up is a binary search; two requests with one fingerprint cost one more block read, never a wrong
 answer, since the reader compares names.
 
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -197,7 +197,7 @@
         if self._keeper is None:
             return
         for action in actions:
-            if (request := getattr(action, "request", "")):
+            if request := getattr(action, "request", ""):
                 self._keeper.note(now, self.acting, request, (type(action).__name__,))
 
     @staticmethod
--- a/stonetrack/drill.py
+++ b/stonetrack/drill.py
@@ -122,9 +122,7 @@
             api.RequestClass(
                 name=pairs.get(at + "name", str(n)),
                 first_token_aim=_int(pairs, at + "aim_ns"),
-                aim_per_1000_tokens=int(
-                    _at(per_1000, n, "family_info.aim_us_per_1000_prompt_tokens", 0) * 1000
-                ),
+                aim_per_1000_tokens=int(_at(per_1000, n, "family_info.aim_us_per_1000_prompt_tokens", 0) * 1000),
                 token_aim=int(_at(token_aims, n, "family_info.token_aim_ns", 0)),
                 deadline=_int(pairs, at + "hard_limit_ns"),
                 worth=_float(pairs, at + "worth", 1.0),
@@ -253,9 +251,7 @@
                 report=self.report(f),
             )
         if word == "ACK_FIRST":
-            return api.FirstToken(
-                _need(f, "call"), _int(f, "try", 0), _need(f, "engine"), _int(f, "time_taken_ns", 0)
-            )
+            return api.FirstToken(_need(f, "call"), _int(f, "try", 0), _need(f, "engine"), _int(f, "time_taken_ns", 0))
         if word == "WAKEUP":
             return api.TimerFired(_int(f, "ctx"))
         if word == "GONE":
@@ -267,7 +263,9 @@
             return api.PlaceAnswer(_need(f, "call"), _int(f, "try", 0), _need(f, "engine"), what == 1)
         if word == "SAMPLED":
             return api.ProbeEnded(
-                _need(f, "engine"), _word(_OUTCOMES, f, "how"), _int(f, "time_taken_ns", 0),
+                _need(f, "engine"),
+                _word(_OUTCOMES, f, "how"),
+                _int(f, "time_taken_ns", 0),
                 self.report(f),
             )
         if word == "MAIL":
--- a/stonetrack/engines/hints.py
+++ b/stonetrack/engines/hints.py
@@ -40,4 +40,3 @@
 def good_at_of(servers: Callable[[], Mapping[str, object]]) -> Callable[[str], int]:
     """When a router last had a good outcome at a server, from its table; 0 for one that it does not know."""
     return lambda name: int(getattr(servers().get(name), "good_at", 0))
-
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -76,7 +76,7 @@
         with self._lock:
             self._per_engine = per_engine
             self.keeping.usual, self.keeping.most = idle, max(idle, longest)
-    
+
     def take(self, host: str, port: int, timeout: float) -> tuple[socket.socket, float | None]:
         """A connection and for how many seconds it was kept, None for a new one.  Raises OSError where none is had."""
         while True:
--- a/stonetrack/fleet/model.py
+++ b/stonetrack/fleet/model.py
@@ -62,9 +62,7 @@
         self._away = self._silent = False
         self._mute: list[Callable[[], None]] = []  # what arrives, either way, once the link is whole again
         terms = Terms(script.nodes, service.lists_per_second, script.wait_ms * MS)
-        self._nodes = [
-            _Node(f"n{n}", Asker(terms, random.Random(self._draw.random()), 0)) for n in range(script.nodes)
-        ]
+        self._nodes = [_Node(f"n{n}", Asker(terms, random.Random(self._draw.random()), 0)) for n in range(script.nodes)]
 
     # Time.
 
--- a/stonetrack/fleet/rig.py
+++ b/stonetrack/fleet/rig.py
@@ -457,6 +457,7 @@
             return
         undo = self._on_links(fault, name) if fault.what in ON_LINKS else self._on_process(fault, name)
         if undo is not None and fault.for_s:
+
             def over() -> None:
                 undo()
                 self.links.note("over", fault=fault.what, to=name, of=fault.of)
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -588,7 +588,7 @@
         if left <= ANSWER_MARGIN or request.attempts + steps > self.settings.max_attempts:
             return self._give_up(request)
         if request.reader and self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
-            # Also before a send that may not reach its engine: the state would stand on for as long as that takes.
+            # Also before a send: one that does not reach its engine leaves the state standing meanwhile.
             self._release(request)
             return self._advance(request)
         if request.reader:
--- a/stonetrack/owning/search.py
+++ b/stonetrack/owning/search.py
@@ -24,9 +24,7 @@
     whole: bool  # whether every state within the bounds was seen
 
 
-def search(
-    first: W, steps: Callable[[W], Iterable[tuple[str, W, str]]], plain: Callable[[W], W], most: int
-) -> Found:
+def search(first: W, steps: Callable[[W], Iterable[tuple[str, W, str]]], plain: Callable[[W], W], most: int) -> Found:
     """All states that can be reached, ``most`` at the most."""
     came: dict[W, tuple[W, str] | None] = {first: None}
     waiting = deque([first])
--- a/stonetrack/standin/etcd.py
+++ b/stonetrack/standin/etcd.py
@@ -226,4 +226,3 @@
             self._changed.notify_all()
         connection.write(plain(200, b"{}"))
         return True
-
--- a/stonetrack/starting/steps.py
+++ b/stonetrack/starting/steps.py
@@ -111,4 +111,3 @@
         had = Counter(e.kind for e in self.in_force.values() if e.state is ServerState.UP)
         lost = Counter(self.in_force[n].kind for n in gone)
         return {n for n in gone if lost[self.in_force[n].kind] > self._pace.gone * had[self.in_force[n].kind]}
-
--- a/tests/bed.py
+++ b/tests/bed.py
@@ -35,8 +35,9 @@
 class Bed:
     """A router, its clock, and every action so far."""
 
-    def __init__(self, settings: api.Settings = SETTINGS,
-                 fleet: tuple[api.ServerEntry, ...] = FLEET, now: int = 100 * SECOND) -> None:
+    def __init__(
+        self, settings: api.Settings = SETTINGS, fleet: tuple[api.ServerEntry, ...] = FLEET, now: int = 100 * SECOND
+    ) -> None:
         self.router = Router(settings, seed=1)
         self.now = now
         self.actions: list[api.Action] = []
@@ -57,20 +58,39 @@
             got += self.give(api.TimerFired(0))
         return got
 
-    def ask(self, name: str, session: str = "", beginning: str | None = None, shared: int = 0,
-            prompt: int = 1600, left: int = 10 * SECOND, **more: int) -> list[api.Action]:
+    def ask(
+        self,
+        name: str,
+        session: str = "",
+        beginning: str | None = None,
+        shared: int = 0,
+        prompt: int = 1600,
+        left: int = 10 * SECOND,
+        **more: int,
+    ) -> list[api.Action]:
         self.tries[name] = -1
-        return self.give(api.RequestArrived(name, more.get("class_index", 0), session or "s-" + name, left,
-                                            prompt, beginning, shared, 200, more.get("tenant", 0)))
-
-    def end(self, send: api.Send, outcome: api.Outcome, attempt: int, elapsed: int = 100 * MS,
-            **more: object) -> list[api.Action]:
+        return self.give(
+            api.RequestArrived(
+                name,
+                more.get("class_index", 0),
+                session or "s-" + name,
+                left,
+                prompt,
+                beginning,
+                shared,
+                200,
+                more.get("tenant", 0),
+            )
+        )
+
+    def end(
+        self, send: api.Send, outcome: api.Outcome, attempt: int, elapsed: int = 100 * MS, **more: object
+    ) -> list[api.Action]:
         self.now += elapsed
         base = api.AttemptEnded(send.request, attempt, send.server, outcome, elapsed)
         return self.give(replace(base, **more))  # type: ignore[arg-type]
 
-    def read(self, send: api.Send, attempt: int = 0, kept: int | None = None,
-             elapsed: int = 100 * MS) -> api.Send:
+    def read(self, send: api.Send, attempt: int = 0, kept: int | None = None, elapsed: int = 100 * MS) -> api.Send:
         """The read succeeds, by default finding what was promised; the send to the writer that follows."""
         if kept is None:
             request = self.router.requests[send.request]
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -180,11 +180,14 @@
     assert not of(got, api.Probe) and only(got, api.Send).server == pair[0]
 
 
-@pytest.mark.parametrize("settings", [
-    replace(ASKING, may_probe=False),
-    replace(ASKING, report_source=api.ReportSource.NONE),
-    replace(ASKING, report_source=api.ReportSource.PROBES),
-])
+@pytest.mark.parametrize(
+    "settings",
+    [
+        replace(ASKING, may_probe=False),
+        replace(ASKING, report_source=api.ReportSource.NONE),
+        replace(ASKING, report_source=api.ReportSource.PROBES),
+    ],
+)
 def test_nobody_is_asked_where_it_is_of_no_use(settings: api.Settings) -> None:
     bed = Bed(settings, MANY)
     assert not [p for p in of(bed.ask("q"), api.Probe) if p.server.startswith("r")]
--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -357,8 +357,11 @@
     to_cold = {"r0": 0, "w0": 0}
     for number in range(routers):
         bed = Bed(replace(SETTINGS, router=number, routers=routers), fleet)
-        bed.give(api.ServerList(api.ListKind.CHANGES, 2, (
-            entry("r0", READER, started=bed.now), entry("w0", WRITER, started=bed.now))))
+        bed.give(
+            api.ServerList(
+                api.ListKind.CHANGES, 2, (entry("r0", READER, started=bed.now), entry("w0", WRITER, started=bed.now))
+            )
+        )
         for n in range(each):
             bed.whole(f"q{number}-{n}")
         for send in of(bed.actions, api.Send):
@@ -434,15 +437,27 @@
 
 
 def test_routers_agree_on_a_home_and_an_unloaded_one_is_near_enough() -> None:
-    homes = {only(Bed(replace(SETTINGS, router=n, routers=100)).ask(
-        f"q{n}", session=f"s{n}", beginning="b", shared=1500), api.Send).server for n in range(30)}
+    homes = {
+        only(
+            Bed(replace(SETTINGS, router=n, routers=100)).ask(f"q{n}", session=f"s{n}", beginning="b", shared=1500),
+            api.Send,
+        ).server
+        for n in range(30)
+    }
     assert len(homes) == 1
 
 
 def test_a_popular_beginning_has_several_homes_on_a_large_fleet() -> None:
     fleet = (*(entry(f"r{n}", READER) for n in range(26)), entry("w0", WRITER))
-    used = {only(Bed(replace(SETTINGS, router=n, routers=100), fleet).ask(
-        "q", session=f"s{n}", beginning="hot", shared=1500), api.Send).server for n in range(40)}
+    used = {
+        only(
+            Bed(replace(SETTINGS, router=n, routers=100), fleet).ask(
+                "q", session=f"s{n}", beginning="hot", shared=1500
+            ),
+            api.Send,
+        ).server
+        for n in range(40)
+    }
     assert len(used) == 4
 
 
@@ -461,8 +476,11 @@
 
 
 def test_a_lopsided_cell_sends_its_surplus_to_cells_with_room() -> None:
-    fleet = (*(entry(f"r{n}", READER, cell=0) for n in range(4)), entry("w0", WRITER, cell=0),
-             *(entry(f"w{n}", WRITER, cell=1) for n in range(1, 8)))
+    fleet = (
+        *(entry(f"r{n}", READER, cell=0) for n in range(4)),
+        entry("w0", WRITER, cell=0),
+        *(entry(f"w{n}", WRITER, cell=1) for n in range(1, 8)),
+    )
     many = replace(SETTINGS, routers=100)
     written_at = [written(Bed(replace(many, router=n), fleet), f"q{n}")[1] for n in range(80)]
     assert 4 <= written_at.count("w0") <= 28
@@ -512,8 +530,9 @@
 
 def test_what_would_be_late_is_refused_and_the_less_worthy_first() -> None:
     cheap = replace(SETTINGS.classes[0], worth=0.1)
-    bed = Bed(replace(SETTINGS, classes=(SETTINGS.classes[0], cheap), may_advise_retry=True,
-                      max_retry_after=SECOND // 4))
+    bed = Bed(
+        replace(SETTINGS, classes=(SETTINGS.classes[0], cheap), may_advise_retry=True, max_retry_after=SECOND // 4)
+    )
     jam(bed)
     assert only(bed.ask("worthy", prompt=64), api.Send)
     assert only(bed.ask("cheap", prompt=64, class_index=1), api.Refuse).retry_after == SECOND // 4
@@ -565,18 +584,26 @@
 
 def test_stale_and_unknown_events_are_passed_over() -> None:
     bed = Bed()
-    for event in (api.FirstToken("x", 0, "r0", 1), api.RequestGone("x"), api.PlaceAnswer("x", 0, "w0", True),
-                  api.AttemptEnded("x", 0, "gone", api.Outcome.ERROR, 1),
-                  api.ProbeEnded("gone", api.Outcome.SERVED, 1), api.TimerFired(99)):
+    for event in (
+        api.FirstToken("x", 0, "r0", 1),
+        api.RequestGone("x"),
+        api.PlaceAnswer("x", 0, "w0", True),
+        api.AttemptEnded("x", 0, "gone", api.Outcome.ERROR, 1),
+        api.ProbeEnded("gone", api.Outcome.SERVED, 1),
+        api.TimerFired(99),
+    ):
         assert not of(bed.give(event), api.Send)
 
 
-@pytest.mark.parametrize("change, words", [
-    ({"classes": ()}, "classes must be at least 1, not 0"),
-    ({"routers": 0}, "routers must be at least 1, not 0"),
-    ({"router": 5}, "router 5"),
-    ({"kinds": (api.Kind("chef"),)}, "unknown role 'chef'"),  # type: ignore[arg-type]
-])
+@pytest.mark.parametrize(
+    "change, words",
+    [
+        ({"classes": ()}, "classes must be at least 1, not 0"),
+        ({"routers": 0}, "routers must be at least 1, not 0"),
+        ({"router": 5}, "router 5"),
+        ({"kinds": (api.Kind("chef"),)}, "unknown role 'chef'"),  # type: ignore[arg-type]
+    ],
+)
 def test_wrong_settings_are_named(change: dict[str, object], words: str) -> None:
     with pytest.raises(ValueError, match=words):
         Router(replace(SETTINGS, **change), 1)  # type: ignore[arg-type]
@@ -638,8 +665,7 @@
     for elapsed, spread in ((1 * MS, True), (300 * MS, False)):
         bed = Bed(fleet=fleet)
         served = bed.whole("first")
-        send = next(send for n in range(20)
-                    if (send := only(bed.ask(f"q{n}"), api.Send)).server != served)
+        send = next(send for n in range(20) if (send := only(bed.ask(f"q{n}"), api.Send)).server != served)
         bed.end(send, api.Outcome.FULL, 0, elapsed=elapsed)
         later = {only(bed.ask(f"later{n}"), api.Send).server for n in range(12)}
         assert (len(later) > 1) == spread
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -130,8 +130,14 @@
         sent(5_500, "r0", "release", 0, 3, place=False)]  # fmt: skip
 PLACE = [sent(1, "r0", "read", 0, 1), rec(2, "place", engine="w0", id="q"), done(5, 1),
          sent(3_100, "w0", "release", 0, 3, place=True)]  # fmt: skip
-WRITE = [sent(1, "r0", "read", 0, 1), rec(5, "state", engine="r0", id="q"), done(5, 1),
-         sent(3_000, "w0", "write", 1, 2), rec(3_002, "taken", engine="w0", at="r0", id="q"), done(3_090, 2, "w0")]
+WRITE = [
+    sent(1, "r0", "read", 0, 1),
+    rec(5, "state", engine="r0", id="q"),
+    done(5, 1),
+    sent(3_000, "w0", "write", 1, 2),
+    rec(3_002, "taken", engine="w0", at="r0", id="q"),
+    done(3_090, 2, "w0"),
+]
 LATE = [sent(1, "r1", "read", 1, 1), sent(3_000, "r0", "read", 0, 2), done(3_050, 2), done(3_100, 1, "r1")]
 OUT = [sent(1, "r0", "read", 0, 1), sent(500, "r1", "read", 1, 2), done(600, 2, "r1"), done(3_000, 1)]
 
@@ -170,7 +176,9 @@
     late = [rec(0, "fault", fault="delay", to="e:r0", of="*", late_ms=50.0),
             rec(100, "over", fault="delay", to="e:r0", of="*")]  # fmt: skip
     made = faults([*late, *cut(150, 300, "r0"), rec(900, "fault", fault="refuse", to="e:r0", of="*")], 1_000 * MS)
-    assert made.held("r0", "n0-0", 0, 2_000 * MS) == 400 * MS  # 0 to 200 with what was late there and back, to 300, from 900
+    assert (
+        made.held("r0", "n0-0", 0, 2_000 * MS) == 400 * MS
+    )  # 0 to 200 with what was late there and back, to 300, from 900
     assert made.held("r0", "n1-0", 0, 2_000 * MS) == 300 * MS and made.held("r1", "n0-0", 0, 2_000 * MS) == 0
     assert made.held("r0", "n0-0", 250 * MS, 260 * MS) == 10 * MS
 
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -307,6 +307,7 @@
 
 def test_descriptors_and_tables_stay_flat_over_many_short_connections() -> None:
     with platform() as world, node(world) as made:
+
         def some(count: int, tag: str) -> None:
             for n in range(count):
                 client = Client(world.listen)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -28,16 +28,53 @@
     "steward": {"control", "capture", "lists", "fronts", "register", "owning", "engines", "wire", "settings"},
     "lists": {"owning", "fronts", "engines", "node", "wire", "settings"},
     "capture": {"logic", "background"},
-    "daemon": {"control", "audit", "background", "capture", "fronts", "engines", "node", "wire", "settings", "starting",
-               "logic"},  # fmt: skip
+    "daemon": {
+        "control",
+        "audit",
+        "background",
+        "capture",
+        "fronts",
+        "engines",
+        "node",
+        "wire",
+        "settings",
+        "starting",
+        "logic",
+    },  # fmt: skip
     "edge": {"fronts", "engines", "node", "wire", "settings", "logic", "drill"},
     "standin": {"lists", "register", "fronts", "settings", "engines", "wire"},
-    "fleet": {"control", "logic", "pages", "standin", "lists", "register", "owning", "starting", "engines", "wire",
-              "settings"},  # fmt: skip
+    "fleet": {
+        "control",
+        "logic",
+        "pages",
+        "standin",
+        "lists",
+        "register",
+        "owning",
+        "starting",
+        "engines",
+        "wire",
+        "settings",
+    },  # fmt: skip
     "day": {"pages", "fleet", "standin", "engines", "wire", "settings"},
-    "cli": {"control", "audit", "steward", "register", "owning",
-            "background", "capture", "lists", "fleet", "day", "standin", "daemon", "edge", "fronts", "engines",
-            "settings"},  # fmt: skip
+    "cli": {
+        "control",
+        "audit",
+        "steward",
+        "register",
+        "owning",
+        "background",
+        "capture",
+        "lists",
+        "fleet",
+        "day",
+        "standin",
+        "daemon",
+        "edge",
+        "fronts",
+        "engines",
+        "settings",
+    },  # fmt: skip
 }
 IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
 PURE = [
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -303,6 +303,7 @@
         assert store.keys("a/") == ["a/job/x", "a/owner"] and store.read("b/owner").value == b""
         with pytest.raises(RegisterError, match="at most"):
             store.swap("k" * 500, 0, b"")
+
         def write() -> None:
             mine = opened()
             third = mine.swap("a/owner", second, b"three")
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -24,8 +24,12 @@
 
 
 def test_every_snapshot_named_is_in_the_journal() -> None:
-    journal = {found for path in (ROOT / "journal").rglob("*") if path.is_file()
-               for found in re.findall(r"[0-9a-f]{8}", path.name)}
+    journal = {
+        found
+        for path in (ROOT / "journal").rglob("*")
+        if path.is_file()
+        for found in re.findall(r"[0-9a-f]{8}", path.name)
+    }
     pages = [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]
     named = {name for page in pages for name in re.findall(r"`([0-9a-f]{8})`", page.read_text())}
     assert len(named) > 10
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -99,9 +99,22 @@
             finished = True
         else:
             good = api.Outcome.READ if reading else api.Outcome.SERVED
-            result = api.Outcome.TIMED_OUT if timed_out else self.draw.choice([
-                good, good, good, api.Outcome.ERROR, api.Outcome.FULL, api.Outcome.TIMED_OUT,
-                api.Outcome.CONNECT_FAILED, api.Outcome.RESET])
+            result = (
+                api.Outcome.TIMED_OUT
+                if timed_out
+                else self.draw.choice(
+                    [
+                        good,
+                        good,
+                        good,
+                        api.Outcome.ERROR,
+                        api.Outcome.FULL,
+                        api.Outcome.TIMED_OUT,
+                        api.Outcome.CONNECT_FAILED,
+                        api.Outcome.RESET,
+                    ]
+                )
+            )
             finished = result is api.Outcome.SERVED or name not in self.open
         missing = result is api.Outcome.FULL and not reading and self.draw.random() < 0.5
         if not reading and result in UNPROVEN and name not in self.ran:
@@ -115,8 +128,9 @@
             self.held[name] = self.now
         if finished:
             self.open.pop(name, None)
-        self.take(self.bed.give(api.AttemptEnded(
-            name, number, send.server, result, self.now - sent, finished, 0, missing)))
+        self.take(
+            self.bed.give(api.AttemptEnded(name, number, send.server, result, self.now - sent, finished, 0, missing))
+        )
 
     def step(self) -> None:
         self.bed.now += 10 * MS
@@ -170,15 +184,19 @@
 
 
 @pytest.mark.parametrize("seed", range(8))
-@pytest.mark.parametrize("settings, fleet", [
-    (SAFE, FLEET),
-    (replace(SAFE, classes=CLASSES), FLEET),
-    (replace(SAFE, classes=CLASSES, may_hold_place=True, may_move=True), FLEET),
-    (replace(SAFE, classes=CLASSES, may_cancel=False), (*FLEET, entry("m0", MIXED), entry("m1", MIXED))),
-    (replace(SAFE, max_attempts=2), FLEET[:1] + FLEET[4:5]),
-])
+@pytest.mark.parametrize(
+    "settings, fleet",
+    [
+        (SAFE, FLEET),
+        (replace(SAFE, classes=CLASSES), FLEET),
+        (replace(SAFE, classes=CLASSES, may_hold_place=True, may_move=True), FLEET),
+        (replace(SAFE, classes=CLASSES, may_cancel=False), (*FLEET, entry("m0", MIXED), entry("m1", MIXED))),
+        (replace(SAFE, max_attempts=2), FLEET[:1] + FLEET[4:5]),
+    ],
+)
 def test_rules_hold_under_random_outcomes(
-        settings: api.Settings, fleet: tuple[api.ServerEntry, ...], seed: int) -> None:
+    settings: api.Settings, fleet: tuple[api.ServerEntry, ...], seed: int
+) -> None:
     world = World(settings, fleet, seed)
     for _ in range(2500):
         world.step()
@@ -192,8 +210,9 @@
 
 def test_no_send_after_a_drain_is_heard() -> None:
     bed = Bed()
-    bed.give(api.ServerList(api.ListKind.CHANGES, 2, tuple(
-        replace(e, state=api.ServerState.DRAINING) for e in FLEET[:3])))
+    bed.give(
+        api.ServerList(api.ListKind.CHANGES, 2, tuple(replace(e, state=api.ServerState.DRAINING) for e in FLEET[:3]))
+    )
     assert {bed.whole(f"q{n}") for n in range(12)} == {"r3"}
 
 
