Standard names for background calls and stale nodes; one call has a module of its own

Change: engines/calls.py and engines/background_calls.py (BackgroundCalls); control/straggling.py is control/stale_nodes.py; `audit stragglers` is `audit stale-nodes`, the old name is refused and names the new one (tested); the log's event is `stale node`.

--- a/benchmarks/versions.py
+++ b/benchmarks/versions.py
@@ -100,7 +100,7 @@
     numbers = [r["number"] for r in made.log if r["what"] == "published"]
     end = max(r["t"] for r in made.log)
     last = {d.node: d.number for d in decided if d.t > end - 5 * SECOND}
-    out = {r["node"] for r in said if r["event"] == "straggler" and r["order"] == "out"}
+    out = {r["node"] for r in said if r["event"] == "stale node" and r["order"] == "out"}
     return {
         "taken after a permit": float(len(late)),
         "steps back": float(len(back)),
--- a/stonetrack/audit/collector.py
+++ b/stonetrack/audit/collector.py
@@ -13,7 +13,7 @@
 from stonetrack.audit.collecting import Question, Rounds
 from stonetrack.audit.settings import Collect
 from stonetrack.audit.store import Store
-from stonetrack.engines.errands import CallFailed, exchange
+from stonetrack.engines.calls import CallFailed, exchange
 from stonetrack.wire import http1, writer
 
 SECOND = 1_000_000_000
--- a/stonetrack/audit/questions.py
+++ b/stonetrack/audit/questions.py
@@ -58,7 +58,7 @@
     return last
 
 
-def stragglers(accounts: Mapping[str, Read], wanted: int, since: int) -> dict[str, Span]:
+def stale_nodes(accounts: Mapping[str, Read], wanted: int, since: int) -> dict[str, Span]:
     """The last span of each node that decided anything under an older version of the list after a time."""
     late: dict[str, Span] = {}
     for name, read in accounts.items():
--- a/stonetrack/cli/auditing.py
+++ b/stonetrack/cli/auditing.py
@@ -128,22 +128,29 @@
     _known(accounts, when)
 
 
-@audit.command("stragglers")
+@audit.command("stale-nodes")
 @click.option("--version", type=int, required=True, help="Of the list, that all should decide on.")
 @click.option("--since", default="0", help="A moment from which they should.")
 @FOLDERS
-def stragglers(version: int, since: str, folders: tuple[Path, ...]) -> None:
+def stale_nodes(version: int, since: str, folders: tuple[Path, ...]) -> None:
     """Nodes that decided on an older version of the list after a moment; exit code 1 where there are any."""
     from stonetrack.audit import questions
 
     accounts, moment = _accounts(folders), _time(since)
-    late = questions.stragglers(accounts, version, moment)
+    late = questions.stale_nodes(accounts, version, moment)
     for name, span in sorted(late.items()):
         click.echo(f"{name}: still list {span.acting.version}, until {_when(span.ended)}")
     _known(accounts, moment)
     sys.exit(1 if late else 0)
 
 
+@audit.command("stragglers", hidden=True, context_settings={"ignore_unknown_options": True})
+@click.argument("rest", nargs=-1, type=click.UNPROCESSED)
+def stragglers(rest: tuple[str, ...]) -> None:
+    """Refuse the command's earlier name."""
+    raise click.UsageError("stragglers: renamed; allowed: stonetrack audit stale-nodes")
+
+
 @audit.command("diff")
 @click.argument("one", type=int)
 @click.argument("two", type=int)
--- a/stonetrack/cli/controlling.py
+++ b/stonetrack/cli/controlling.py
@@ -85,7 +85,7 @@
 @click.option("--lagging", is_flag=True, help="Only those that do not run what they are to run; exit code 1 for any.")
 def nodes(at: str, lagging: bool) -> None:
     """Who runs which version, and what is known of those that lag."""
-    from stonetrack.control.straggling import Evidence
+    from stonetrack.control.stale_nodes import Evidence
 
     fine = Evidence.FINE.value
     rows = [row for row in _call(at, "GET", "/nodes") if not lagging or row["evidence"] != fine]
--- a/stonetrack/control/calls.py
+++ b/stonetrack/control/calls.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from stonetrack.engines import errands
-from stonetrack.engines.errands import CallFailed
+from stonetrack.engines import calls
+from stonetrack.engines.calls import CallFailed
 from stonetrack.engines.listing import split_address
 from stonetrack.owning.fence import HEADER, NOBODY, Token
 from stonetrack.wire import writer
@@ -32,7 +32,7 @@
         headers.append((HEADER, str(token)))
     data = msgspec.json.encode(body) if body is not None else b""
     try:
-        status, answer = errands.call(host, port, writer.request(method, path, headers, data), patience)
+        status, answer = calls.call(host, port, writer.request(method, path, headers, data), patience)
         told = msgspec.json.decode(answer)
     except (CallFailed, msgspec.DecodeError) as error:
         raise ControlError(f"{at}: {error}") from None
--- a/stonetrack/control/explore.py
+++ b/stonetrack/control/explore.py
@@ -1,4 +1,4 @@
-"""Every history of a shut-out, explored: the machines that run (:mod:`.straggling`, :mod:`.follow`), in a small world.
+"""Every history of a shut-out, explored: the machines that run (:mod:`.stale_nodes`, :mod:`.follow`), in a small world.
 
 A few nodes, of which one may be shut out at a time, and a service that decides about them, may be started anew and
 publishes one more version.  Questions and answers take any time; one that a node gave up may still reach the service
@@ -21,7 +21,7 @@
 from enum import Enum, auto
 
 from stonetrack.control.follow import Permit
-from stonetrack.control.straggling import Node, Order, Rules, orders
+from stonetrack.control.stale_nodes import Node, Order, Rules, orders
 from stonetrack.owning.search import Found, search
 
 NAMES = ("a", "b", "c")
--- a/stonetrack/control/service.py
+++ b/stonetrack/control/service.py
@@ -7,7 +7,7 @@
                      all three: 409 for an owner whose term is over (X-Stonetrack-Term), or with why it can't be done
     GET /versions, /nodes, /health, /metrics
 
-What is done about stragglers is decided in :mod:`.straggling`, every ``LOOK`` seconds and at each report; versions
+What is done about stale nodes is decided in :mod:`.stale_nodes`, every ``LOOK`` seconds and at each report; versions
 are on disk before any node hears of them.
 """
 
@@ -30,7 +30,7 @@
 from stonetrack.control.documents import Document
 from stonetrack.control.history import History, HistoryError
 from stonetrack.control.settings import SECOND, Control, rules
-from stonetrack.control.straggling import Evidence, Node, Order, orders
+from stonetrack.control.stale_nodes import Evidence, Node, Order, orders
 from stonetrack.control.wire import Answer, Report
 from stonetrack.engines.sources import save
 from stonetrack.fronts.host import Connection, Host, Request, plain
@@ -209,7 +209,7 @@
                     self._restarts[name] = self.nodes[name].boot
                 if (order, seen) != before_orders.get(name) and (order is not Order.NONE or before[name].out):
                     changed = True
-                    self._log("straggler" if order is not Order.NONE else "back", node=name, evidence=seen.value,
+                    self._log("stale node" if order is not Order.NONE else "back", node=name, evidence=seen.value,
                               order=order.value, wanted=wanted[name][0], runs=self.nodes[name].running,
                               why=self.nodes[name].why)  # fmt: skip
         if changed:
--- a/stonetrack/control/settings.py
+++ b/stonetrack/control/settings.py
@@ -7,7 +7,7 @@
 
 from msgspec import Meta
 
-from stonetrack.control.straggling import Rules
+from stonetrack.control.stale_nodes import Rules
 from stonetrack.settings import decode, evaluate
 from stonetrack.settings.schema import Limits, Listen, Share, Strict, Timing
 
@@ -19,7 +19,7 @@
     """What holds for one kind of change."""
 
     grace_s: Seconds  # in which nothing is done about who lags
-    bound_s: Seconds  # past which a straggler is shut out
+    bound_s: Seconds  # past which a stale node is shut out
     steps_out: bool = False  # a node that nobody renews the permit of takes no more requests; false: it serves on
 
 
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -121,7 +121,7 @@
             self.recorder.after_gaps(self.core.still, lambda: snapshot.take(router))
         self.engines = EngineClient(settings, clock, name, self.core.tell, self.core.acting_of)
         self.bounds = bounds(settings)
-        self.engines.errands.start()
+        self.engines.background.start()
         self.core.start()
 
     def can_adopt(self, settings: Node) -> bool:
@@ -504,13 +504,13 @@
 
     def _read(self) -> Iterable[Metric]:
         current = self._current
-        pool, errands = current.engines.pool, current.engines.errands
+        pool, background = current.engines.pool, current.engines.background
         yield meters.gauge("open_requests", "Requests under way", self.open_requests)
         yield meters.gauge("connections", "Client connections", self.host.connections)
         yield meters.gauge("workers", "Worker threads", self.host.workers)
-        yield meters.gauge("open_releases", "States and places not let go of yet", errands.open_releases)
-        yield meters.gauge("release_engines_away", "Engines that releases wait for", errands.engines_away)
-        yield meters.gauge("dropped_releases", "Releases given up, of what stays held", errands.dropped_releases)
+        yield meters.gauge("open_releases", "States and places not let go of yet", background.open_releases)
+        yield meters.gauge("release_engines_away", "Engines that releases wait for", background.engines_away)
+        yield meters.gauge("dropped_releases", "Releases given up, of what stays held", background.dropped_releases)
         yield meters.counts(
             "refused_clients", "Clients refused before a request was taken", "why", {"limits": self.host.refused}
         )
--- a/stonetrack/day/run.py
+++ b/stonetrack/day/run.py
@@ -21,7 +21,7 @@
 from stonetrack.day.page import write_page
 from stonetrack.day.played import Played
 from stonetrack.day.script import Day, load_day, plan
-from stonetrack.engines.errands import CallFailed
+from stonetrack.engines.calls import CallFailed
 from stonetrack.fleet.load import Load, gone, kill, schedule
 from stonetrack.fleet.processes import Process, inject, program
 from stonetrack.fleet.pulse import Pulse
--- a/stonetrack/engines/__init__.py
+++ b/stonetrack/engines/__init__.py
@@ -1,7 +1,7 @@
 """The engines' side of the node: attempts on sockets, the server list, load reports, places and releases.
 
 Pure: :mod:`.protocol` (requests, and answers into outcomes), :mod:`.load` (reports), :mod:`.listing` (server lists),
-:mod:`.releases` (when to repeat a release).  On sockets: :mod:`.attempt`, :mod:`.pool`, :mod:`.errands`,
-:mod:`.sources`.  Comes in: what the node asks for.  Goes out: attempt events, lists, reports.
+:mod:`.releases` (when to repeat a release).  On sockets: :mod:`.attempt`, :mod:`.pool`, :mod:`.calls`,
+:mod:`.background_calls`, :mod:`.sources`.  Comes in: what the node asks for.  Goes out: attempt events, lists, reports.
 Must never touch: clients, their protocols, or any choice among engines.
 """
--- /dev/null
+++ b/stonetrack/engines/calls.py
@@ -0,0 +1,64 @@
+"""One short call on a connection of its own: the request out, its whole answer in."""
+
+from __future__ import annotations
+
+from stonetrack import api
+from stonetrack.engines import pool
+from stonetrack.wire import http1
+from stonetrack.wire.errors import ProtocolError
+
+_LIMITS = http1.Limits(body=1 << 20)
+
+
+class CallFailed(OSError):
+    """A call without a usable answer."""
+
+    def __init__(self, text: str, outcome: api.Outcome = api.Outcome.ERROR) -> None:
+        super().__init__(text)
+        self.outcome = outcome
+
+
+def call(host: str, port: int, request: bytes, timeout: float, limits: http1.Limits = _LIMITS) -> tuple[int, bytes]:
+    """One request on a connection of its own: status and body.  Raises CallFailed."""
+    head, body = exchange(host, port, request, timeout, limits)
+    return head.status, body
+
+
+def exchange(
+    host: str, port: int, request: bytes, timeout: float, limits: http1.Limits = _LIMITS, connect: float | None = None
+) -> tuple[http1.ResponseHead, bytes]:
+    """One request on a connection of its own: the answer's head and body.  Raises CallFailed.
+
+    ``timeout`` bounds the time without a byte, ``connect`` (by default as much) that until there is a connection.
+    """
+    try:
+        sock = pool.connect(host, port, timeout if connect is None else connect)
+    except OSError as error:
+        raise CallFailed(f"{host}:{port}: {error}", api.Outcome.CONNECT_FAILED) from None
+    reader = http1.MessageReader(http1.Side.RESPONSES, limits)
+    head: http1.ResponseHead | None = None
+    body = bytearray()
+    try:
+        sock.settimeout(timeout)
+        sock.sendall(request)
+        while True:
+            data = sock.recv(65_536)
+            for event in reader.feed(data) if data else reader.eof():
+                if isinstance(event, http1.ResponseHead):
+                    head = event
+                elif isinstance(event, http1.Data):
+                    body += event.data
+                elif isinstance(event, http1.End) and head is not None and head.status >= 200:
+                    return head, bytes(body)
+            if not data:
+                raise CallFailed(f"{host}:{port}: closed without an answer", api.Outcome.RESET)
+    except TimeoutError:
+        raise CallFailed(f"{host}:{port}: no answer in {timeout:g} s", api.Outcome.TIMED_OUT) from None
+    except ProtocolError as error:
+        raise CallFailed(f"{host}:{port}: {error}") from None
+    except CallFailed:
+        raise
+    except OSError as error:
+        raise CallFailed(f"{host}:{port}: {error}", api.Outcome.RESET) from None
+    finally:
+        sock.close()
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -1,4 +1,4 @@
-"""The engines' side put together (``ports.Engines``): who is where, attempts, errands."""
+"""The engines' side put together (``ports.Engines``): who is where, attempts, background calls."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from stonetrack import api
 from stonetrack.engines import protocol
 from stonetrack.engines.attempt import SocketAttempt
-from stonetrack.engines.errands import Errands
+from stonetrack.engines.background_calls import BackgroundCalls
 from stonetrack.engines.listing import Engine
 from stonetrack.engines.pool import Pool, abort
 from stonetrack.node.ports import Ask, Attempt, Over
@@ -39,7 +39,7 @@
         self._listed: frozenset[str] = frozenset()  # of these, those that the list names
         self.pool = Pool(limits.pool_per_engine, timing.pool_idle_ms / 1000.0,
                          longest=timing.pool_longest_ms / 1000.0)  # fmt: skip
-        self.errands = Errands(
+        self.background = BackgroundCalls(
             self._engines_get,
             clock,
             instance=instance,
@@ -57,7 +57,7 @@
         self._confirm = timing.cancel_confirm_ms / 1000.0
         self._limits = http1.Limits(body=limits.engine_body_bytes)
         self.pool.bound(limits.pool_per_engine, timing.pool_idle_ms / 1000.0, timing.pool_longest_ms / 1000.0)
-        self.errands.patience(self._connect)
+        self.background.patience(self._connect)
 
     def _engines_get(self, server: str) -> Engine | None:
         return self._engines.get(server)
@@ -86,7 +86,7 @@
         if state is not None and role is api.Role.READER:
             state = None
         if role is not api.Role.READER:
-            self.errands.past(ask.request)
+            self.background.past(ask.request)
         request = protocol.chat_request(
             ask, role, f"{engine.host}:{engine.port}", number, self._instance, state, place, engine.kind.load_header,
             self._acting_of(ask.request)
@@ -112,7 +112,7 @@
 
     def hold(self, request: str, server: str, number: int, answer: Callable[[bool], None]) -> None:
         """See ``ports.Engines.hold``."""
-        self.errands.hold(request, server, number, answer)
+        self.background.hold(request, server, number, answer)
 
     def release(self, request: str, reader: str, state: Any, place: str, number: int, rest: bool) -> None:
         """See ``ports.Engines.release``; these engines let go of each thing by itself."""
@@ -120,11 +120,11 @@
         if state is None and (engine is None or engine.kind.role is not api.Role.READER):
             reader = ""
         if reader or place:
-            self.errands.release(request, reader, state, place, number)
+            self.background.release(request, reader, state, place, number)
 
     def probe(self, server: str) -> None:
         """See ``ports.Engines.probe``."""
-        self.errands.probe(server)
+        self.background.probe(server)
 
     def reach(self, server: str) -> bool:
         """Open a connection ahead and keep it for the first request; whether one came about."""
@@ -140,5 +140,5 @@
 
     def close(self, wait: float = 1.0) -> None:
         """Let releases end, close what is idle."""
-        self.errands.stop(wait)
+        self.background.stop(wait)
         self.pool.close()
--- a/stonetrack/engines/sources.py
+++ b/stonetrack/engines/sources.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from stonetrack import api
-from stonetrack.engines.errands import CallFailed, exchange
+from stonetrack.engines.calls import CallFailed, exchange
 from stonetrack.engines.listing import Document, Engine, ListError, Listing, read
 from stonetrack.settings.schema import Source
 from stonetrack.starting.asking import Asker, Ended, Terms
--- a/stonetrack/fleet/processes.py
+++ b/stonetrack/fleet/processes.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-from stonetrack.engines.errands import CallFailed, call
+from stonetrack.engines.calls import CallFailed, call
 from stonetrack.wire import writer
 
 FULL = 200  # bytes that a file may have on a full disk: the line that says where the program listens, no more
--- a/stonetrack/fleet/rig.py
+++ b/stonetrack/fleet/rig.py
@@ -27,8 +27,8 @@
 
 from stonetrack.control.calls import ControlError
 from stonetrack.control.calls import call as control
-from stonetrack.engines import errands
-from stonetrack.engines.errands import CallFailed
+from stonetrack.engines import calls
+from stonetrack.engines.calls import CallFailed
 from stonetrack.engines.sources import save
 from stonetrack.fleet import judge
 from stonetrack.fleet.clients import Apart
@@ -148,7 +148,7 @@
         self.parts["engines"] = part
         part.start()
         part.wait_ready(START_WITHIN)
-        _, body = errands.call(*address_of(part.url), writer.request("GET", "/state", [("Host", "rig")]), 5.0)
+        _, body = calls.call(*address_of(part.url), writer.request("GET", "/state", [("Host", "rig")]), 5.0)
         for name, state in msgspec.json.decode(body)["engines"].items():
             self.links.add("node", f"e:{name}", ("127.0.0.1", state["port"]), shared=True)
         self._hear_engines(-1)
@@ -157,7 +157,7 @@
         """Hear from the stand-ins which of them are up, leaving or new; the version heard."""
         target = f"/engines?after={after}&wait_ms={1_000 if after >= 0 else 0}"
         request = writer.request("GET", target, [("Host", "rig"), ("Connection", "close")])
-        status, body = errands.call(*address_of(self.parts["engines"].url), request, 5.0)
+        status, body = calls.call(*address_of(self.parts["engines"].url), request, 5.0)
         if status == 200:
             told = msgspec.json.decode(body)
             lines = {} if told["kind"] == "full" else {line["name"]: line for line in self._engine_lines}
@@ -519,7 +519,7 @@
         body = {"fault": fault.what.removeprefix("register_"), "for_ms": fault.for_s * 1_000.0, **fault.args}
         at = address_of(self.parts["register"].url)
         headers = [("Host", "rig"), ("Connection", "close")]
-        errands.call(*at, writer.request("POST", "/fault", headers, msgspec.json.encode(body)), 5.0)
+        calls.call(*at, writer.request("POST", "/fault", headers, msgspec.json.encode(body)), 5.0)
 
     def _on_process(self, fault: Fault, name: str) -> Callable[[], None] | None:
         part = self.parts["engines" if name.startswith("e:") else name]
@@ -621,7 +621,7 @@
     def _health(link: Link) -> str:
         request = writer.request("GET", "/health", [("Host", "check"), ("Connection", "close")])
         try:
-            status, body = errands.call("127.0.0.1", link.port, request, 1.0)
+            status, body = calls.call("127.0.0.1", link.port, request, 1.0)
             told = msgspec.json.decode(body)
         except (TimeoutError, CallFailed, msgspec.DecodeError):
             return "no answer"
--- a/stonetrack/register/etcd.py
+++ b/stonetrack/register/etcd.py
@@ -20,8 +20,8 @@
 import msgspec
 
 from stonetrack import api
-from stonetrack.engines import errands, pool
-from stonetrack.engines.errands import CallFailed
+from stonetrack.engines import calls, pool
+from stonetrack.engines.calls import CallFailed
 from stonetrack.register.ports import NONE, Entry, RegisterError, Unknown, checked
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
@@ -165,7 +165,7 @@
     def _call(self, at: tuple[str, int], path: str, body: dict[str, Any], write: bool = False) -> bytes:
         request = writer.request("POST", path, _headers(at), msgspec.json.encode(body))
         try:
-            status, data = errands.call(*at, request, self._timeout, _LIMITS)
+            status, data = calls.call(*at, request, self._timeout, _LIMITS)
         except CallFailed as error:
             if write and error.outcome is not api.Outcome.CONNECT_FAILED:
                 raise Unknown(f"etcd: {error}") from None
--- a/stonetrack/steward/calls.py
+++ b/stonetrack/steward/calls.py
@@ -13,8 +13,8 @@
 
 from stonetrack.control.calls import ControlError
 from stonetrack.control.calls import call as control
-from stonetrack.engines import errands
-from stonetrack.engines.errands import CallFailed
+from stonetrack.engines import calls
+from stonetrack.engines.calls import CallFailed
 from stonetrack.owning.fence import HEADER, NOBODY, Token
 from stonetrack.steward.captures import retained
 from stonetrack.steward.checking import Check, Tally
@@ -110,7 +110,7 @@
         headers = [("Host", address), ("X-Request-Id", "check"), ("Connection", "close")]
         try:
             request = writer.request("GET", "/metrics", headers)
-            return errands.call(host.strip("[]"), int(port), request, self._settings.checks.timeout_s)[0] < 500
+            return calls.call(host.strip("[]"), int(port), request, self._settings.checks.timeout_s)[0] < 500
         except (CallFailed, ValueError):
             return False
 
@@ -150,7 +150,7 @@
             host, _, port = node.rpartition(":")
             request = writer.request("GET", "/metrics", [("Host", node), ("Connection", "close")])
             with contextlib.suppress(CallFailed, ValueError):
-                status, body = errands.call(host, int(port), request, self._settings.call_s)
+                status, body = calls.call(host, int(port), request, self._settings.call_s)
                 for line in body.decode("utf-8", "replace").splitlines() if status == 200 else ():
                     labels, _, value = line.rpartition(" ")
                     if labels.startswith("stonetrack_requests_total{") and 'ended="gone"' not in labels:
@@ -214,4 +214,4 @@
         if token is not None:
             headers.append((HEADER, str(token)))
         request = writer.request(method, f"{slash}{path}" or "/", headers, body)
-        return errands.call(host, int(port), request, self._settings.call_s)
+        return calls.call(host, int(port), request, self._settings.call_s)
--- a/stonetrack/steward/rolling.py
+++ b/stonetrack/steward/rolling.py
@@ -13,7 +13,7 @@
 
 from stonetrack.control import rollout
 from stonetrack.control.rollout import Next, Sample, Terms, Verdict
-from stonetrack.control.straggling import Evidence
+from stonetrack.control.stale_nodes import Evidence
 from stonetrack.settings.schema import Share, Strict
 from stonetrack.steward.jobs import Facts, Step, Wait
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -290,7 +290,7 @@
     assert questions.who(accounts, 0) == {}  # nothing was decided
     assert [s.acting.version for s in questions.at(accounts, 2)["n"]] == [1, 2]
     assert {n: a.version for n, a in questions.newest(accounts).items()} == {"n": 5, "m": 2}
-    assert {n: s.acting.version for n, s in questions.stragglers(accounts, 5, 2).items()} == {"n": 4, "m": 2}
+    assert {n: s.acting.version for n, s in questions.stale_nodes(accounts, 5, 2).items()} == {"n": 4, "m": 2}
     assert questions.difference(accounts, 4, 1) == {"Send": (1.0, 1.0)}
 
 
@@ -341,9 +341,11 @@
     assert result.exit_code == 0, result.output
     said = {}
     for arguments in (["verify"], ["who", "--version", "1"], ["at", str(time.time())], ["export"], ["diff", "1", "2"],
-                      ["stragglers", "--version", "1"]):  # fmt: skip
+                      ["stale-nodes", "--version", "1"]):  # fmt: skip
         result = CliRunner().invoke(main, ["audit", *arguments, str(tmp_path / "store")])
         assert result.exit_code == 0, result.output
         said[arguments[0]] = result.output
+    renamed = CliRunner().invoke(main, ["audit", "stragglers", "--version", "1", str(tmp_path / "store")])
+    assert renamed.exit_code == 2 and "stonetrack audit stale-nodes" in renamed.output
     assert "complete: 1 accounts" in said["verify"] and "not complete" in said["at"]
     assert json.loads(said["export"].splitlines()[0])["acting"]["program"]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,4 @@
-"""Versions, permits, stragglers and staged roll-outs: the pure machines, each with what it must never do."""
+"""Versions, permits, stale nodes and staged roll-outs: the pure machines, each with what it must never do."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 from hypothesis import strategies as st
 
 from stonetrack.cli.main import main
-from stonetrack.control import straggling
+from stonetrack.control import stale_nodes
 from stonetrack.control.calls import ControlError, call
 from stonetrack.control.documents import NOTHING, Document, digest_of, made, problem
 from stonetrack.control.explore import Bounds, Less, explore
 from stonetrack.control.follow import Do, Follower, Permit
 from stonetrack.control.history import History, HistoryError, drawn, fields, restored
 from stonetrack.control.rollout import Next, Sample, Terms, Verdict, step, verdict
-from stonetrack.control.straggling import Evidence, Node, Order, Rules, orders
+from stonetrack.control.stale_nodes import Evidence, Node, Order, Rules, orders
 from stonetrack.control.wire import Answer, Report
 from stonetrack.daemon.controlled import Controlled
 from stonetrack.fleet.processes import program
@@ -255,11 +255,11 @@
     old = base.published({"a": 9}, "rule", 1.0, names=few, beyond=7)
     assert old.newest.number == 8  # an old state was put back: past all that nodes run
     node = fleet(1)["n0"].reported(0, "b", 9, "d9", "d9", 0, "").to_run(0, 2)
-    assert straggling.evidence(node, "d2", 0, RULES) is Evidence.AHEAD
+    assert stale_nodes.evidence(node, "d2", 0, RULES) is Evidence.AHEAD
     assert look({"n0": node}, 2, 10**12)[1]["n0"][0] is Order.NONE
 
 
-# Stragglers.
+# Stale nodes.
 
 RULES = Rules()
 
@@ -276,7 +276,7 @@
     return orders(nodes, wanted, now, rules)
 
 
-def test_a_straggler_is_told_started_anew_shut_out_and_comes_back_by_itself() -> None:
+def test_a_stale_node_is_told_started_anew_shut_out_and_comes_back_by_itself() -> None:
     nodes = fleet(10)
     nodes, _ = look(nodes, 2, SECOND)
     for name in [f"n{n}" for n in range(1, 10)]:
@@ -305,11 +305,11 @@
         Evidence.BEHIND: node,
     }
     for wanted, each in cases.items():
-        assert straggling.evidence(each, "d2", 0, RULES) is wanted
+        assert stale_nodes.evidence(each, "d2", 0, RULES) is wanted
     flapping = node
     for n in range(6):
         flapping = flapping.reported(n, f"boot {n}", 1, "d1", "d1", 0, "")
-    assert straggling.evidence(flapping, "d2", 10, RULES) is Evidence.FLAPPING
+    assert stale_nodes.evidence(flapping, "d2", 10, RULES) is Evidence.FLAPPING
 
 
 def test_a_process_that_has_just_started_gets_its_grace_and_one_that_flaps_does_not() -> None:
@@ -328,7 +328,7 @@
     nodes, _ = look(fleet(10), 2, SECOND)
     nodes = {name: node.reported(SECOND, "b", 1, "d1", "d1", 2, "no") for name, node in nodes.items()}
     assert all(order is Order.NONE for order, _ in look(nodes, 2, 100 * SECOND)[1].values())
-    # Three of ten: those are the stragglers, and are shut out, two at most.
+    # Three of ten: those are the stale nodes, and are shut out, two at most.
     some = {
         name: node if name < "n3" else node.reported(SECOND, "b", 2, "d2", "d2", 0, "") for name, node in nodes.items()
     }
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -85,7 +85,7 @@
     "register/ports.py", "steward/jobs.py", "steward/maintenance.py",
     "steward/publishing.py", "steward/rolling.py", "steward/checking.py",
     "engines/hints.py", "control/documents.py", "control/follow.py", "control/history.py", "control/rollout.py",
-    "control/settings.py", "control/explore.py", "control/straggling.py", "control/wire.py",
+    "control/settings.py", "control/explore.py", "control/stale_nodes.py", "control/wire.py",
     "daemon/places.py", "engines/keeping.py", "steward/retaining.py",
     "steward/settings.py", "fleet/shape.py",
     "fleet/script.py", "fleet/model.py", "fleet/judge.py", "fleet/serving.py", "fleet/faulted.py",
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -16,7 +16,7 @@
 from hypothesis import strategies as st
 
 from stonetrack.api import Role
-from stonetrack.engines.errands import call, exchange
+from stonetrack.engines.calls import call, exchange
 from stonetrack.engines.listing import Listing
 from stonetrack.fronts.host import listen
 from stonetrack.lists.history import History, LinesError
--- a/tests/test_owning.py
+++ b/tests/test_owning.py
@@ -14,7 +14,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from stonetrack.engines import errands
+from stonetrack.engines import calls
 from stonetrack.fleet.linear import NEVER, Op, linearizable
 from stonetrack.fronts.host import listen
 from stonetrack.owning.explore import Bounds, Less, drawn, explore
@@ -285,7 +285,7 @@
 def fault(address: str, what: str, **more: float) -> None:
     host, _, port = address.rpartition(":")
     body = msgspec.json.encode({"fault": what, **more})
-    assert errands.call(host, int(port), writer.request("POST", "/fault", [("Host", "t")], body), 2.0)[0] == 200
+    assert calls.call(host, int(port), writer.request("POST", "/fault", [("Host", "t")], body), 2.0)[0] == 200
 
 
 @pytest.mark.parametrize("kind", ["embedded", "etcd"])
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -16,7 +16,7 @@
 
 from stonetrack import api
 from stonetrack.engines.attempt import SocketAttempt
-from stonetrack.engines.errands import Errands
+from stonetrack.engines.background_calls import BackgroundCalls
 from stonetrack.fleet.load import Client, Planned, Seen
 from stonetrack.fleet.rules import Judge, Terms, Verdict
 from stonetrack.fleet.traffic import Traffic
@@ -244,10 +244,10 @@
 @pytest.mark.parametrize("sabotage", [False, True])
 @pytest.mark.parametrize("unreachable", [False, True])
 def test_a_read_state_is_let_go_of_when_its_request_ends(sabotage: bool, unreachable: bool) -> None:
-    right = Errands.release
-    with rig(1, 1) as node, swapped(Errands, "release", lambda *_: None if sabotage else right):
+    right = BackgroundCalls.release
+    with rig(1, 1) as node, swapped(BackgroundCalls, "release", lambda *_: None if sabotage else right):
         if not sabotage:
-            Errands.release = right  # type: ignore[method-assign]
+            BackgroundCalls.release = right  # type: ignore[method-assign]
         # The state is read, then its writer holds it up until the client leaves.
         node.fault("w0", "hang", for_ms=6_000)
         seen: list[Seen] = []
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -15,7 +15,7 @@
 from stonetrack.cli.main import main
 from stonetrack.control.calls import ControlError
 from stonetrack.control.calls import call as control
-from stonetrack.engines import errands
+from stonetrack.engines import calls
 from stonetrack.engines.hints import Hints
 from stonetrack.engines.listing import Line
 from stonetrack.fleet import owners
@@ -263,7 +263,7 @@
 
 def call(at: tuple[str, int], method: str, body: bytes, owner: str) -> tuple[int, dict[str, Any]]:
     headers = [("Host", "t"), ("Connection", "close"), *([(HEADER, owner)] if owner else [])]
-    status, answer = errands.call(*at, writer.request(method, "/engines", headers, body), 5.0)
+    status, answer = calls.call(*at, writer.request(method, "/engines", headers, body), 5.0)
     return status, json.loads(answer)
 
 
@@ -331,7 +331,7 @@
 
 def health(url: str) -> str:
     request = writer.request("GET", "/health", [("Host", "t"), ("Connection", "close")])
-    return errands.call(*address_of(url), request, 5.0)[1].decode()
+    return calls.call(*address_of(url), request, 5.0)[1].decode()
 
 
 # Processes: three stewards, the register, the list service.
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -155,7 +155,7 @@
 def test_a_node_that_turns_a_version_down_is_shut_out_until_one_that_it_can_take(plays: Plays) -> None:
     made, decided, said = seen(plays, "shut out")
     assert 2 not in {d.number for d in decided if d.node == "n2"}
-    out = [r for r in said if r["event"] == "straggler" and r["order"] == "out"]
+    out = [r for r in said if r["event"] == "stale node" and r["order"] == "out"]
     assert {r["node"] for r in out} == {"n2-0"} and out[0]["evidence"] == "turned it down"
     assert "a class: chat" in out[0]["why"]
     assert any(r["event"] == "back" and r["node"] == "n2-0" for r in said)
@@ -179,7 +179,7 @@
         "n0": [], "n1": [], "n2": []}  # fmt: skip
     assert {d.number for d in decided if d.t > 8 * SECOND} == {1}
     keeps(made)
-    assert not [r for r in said if r["event"] == "straggler"]
+    assert not [r for r in said if r["event"] == "stale node"]
 
 
 def test_a_staged_version_that_costs_service_is_given_up_by_the_steward(plays: Plays) -> None:
