--- a/tests/test_choices.py
+++ b/tests/test_choices.py
@@ -21,7 +21,7 @@
     Stat,
     spread_hash,
 )
-from tests.bed import FLEET, MIXED, READER, SETTINGS, WRITER, Bed, entry, of, only
+from tests.bed import CLASS, FLEET, MIXED, READER, SETTINGS, WRITER, Bed, entry, of, only
 
 TWO_READERS = (entry("r0", READER), entry("r1", READER), entry("w0", WRITER), entry("w1", WRITER))
 ANSWERS = replace(SETTINGS, report_source=api.ReportSource.ANSWERS)
@@ -538,6 +538,29 @@
     assert only(bed.ask("cheap", prompt=64, class_index=1), api.Refuse).retry_after == SECOND // 4
 
 
+@pytest.mark.parametrize("per_1000, taken", [(CLASS.aim_per_1000_tokens, True), (0, False)])
+def test_a_long_prompt_is_judged_by_the_time_that_its_class_gives_for_its_length(per_1000: int, taken: bool) -> None:
+    """Else the longest prompts of a class would be refused by an idle fleet."""
+    bed = Bed(replace(SETTINGS, classes=(replace(CLASS, aim_per_1000_tokens=per_1000),)))
+    warm(bed)
+    bed.router.latency[api.Role.READER].at = bed.now
+    actions = bed.ask("long", prompt=75_000)
+    assert bool(of(actions, api.Send)) == taken == (not of(actions, api.Refuse))
+
+
+def test_a_router_that_refused_all_for_a_while_takes_requests_again_within_4_s() -> None:
+    """A node that saw a jam must not go on turning away all that it gets: refusals bring it no news."""
+    bed = Bed(replace(SETTINGS, classes=(replace(CLASS, worth=1.0), replace(CLASS, worth=9.0))))
+    jam(bed)
+    assert only(bed.ask("jammed", prompt=1_600), api.Refuse)
+    answers = []
+    for n in range(16):
+        bed.wait(SECOND // 4)
+        answers.append(bool(of(bed.ask(f"later{n}", prompt=1_600), api.Send)))
+        bed.give(api.RequestGone(f"later{n}"))
+    assert any(answers)
+
+
 def test_a_tenant_over_its_quota_is_refused_first() -> None:
     tenants = (api.Tenant("big", 100.0), api.Tenant("small", 0.5))
     bed = Bed(replace(SETTINGS, tenants=tenants, over_share_worth=0.05))
