A node that slept past its permit takes the new version first, requests then

Ruled out: a decision of before the stop (sent after it), the permit's span (counted from the question). Change: shut-outs at once, then the document, the permit last. The judge of steps back sees attempts as engines do, not as they were decided: what a client sent before its node's stop is no step back; in its place the test asks that whatever was sent during the sleep is decided by the newest version alone.

--- a/stonetrack/daemon/controlled.py
+++ b/stonetrack/daemon/controlled.py
@@ -23,7 +23,7 @@
 from stonetrack.control.documents import NOTHING, Document
 from stonetrack.control.follow import Do, Follower, Permit, after_falls
 from stonetrack.control.wire import Answer, Report
-from stonetrack.engines.sources import save
+from stonetrack.durable import save
 from stonetrack.settings import Node, SettingsError, merged, parse
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -167,12 +167,13 @@
     def _follow(self, answer: Answer, asked_at: int) -> bool:
         """Do what the answer says; whether there was news in it."""
         before = self.permit
-        permit = before.granted(asked_at, answer.permit_ms * MS, answer.steps_out)
-        self.permit = permit.shut(answer.out, answer.lifted_by, answer.order)
+        self.permit = before.shut(answer.out, answer.lifted_by, answer.order)
         if self.permit.out != before.out:
             self._log(f"shut out: {self.permit.out}" if self.permit.out else "let in again")
         if answer.document is not None:
             self.offered(answer.document)
+        # Only now: a node whose permit ran out while it slept would take requests on the old version in between.
+        self.permit = self.permit.granted(asked_at, answer.permit_ms * MS, answer.steps_out)
         if answer.restart and self.follower.running.number != answer.lifted_by:  # else this answer brought it up
             self._log("started anew, as the control service asks")
             self._restart()
--- a/stonetrack/fleet/versions.py
+++ b/stonetrack/fleet/versions.py
@@ -52,6 +52,12 @@
     return end if steps_out else None
 
 
+def last_stop(log: Iterable[Record], node: str, until: int) -> int | None:
+    """When a node was last stopped before a time; None where it was not."""
+    stops = (r["t"] for r in log if r["what"] == "fault" and r["fault"] == "stop" and r["to"] == node)
+    return max((t for t in stops if t <= until), default=None)
+
+
 def after_permit(
     made: Sequence[Decided], log: Sequence[Record], sent: Mapping[str, int], slack: int = 100 * MS
 ) -> list[str]:
@@ -61,7 +67,6 @@
     ``sent`` is when each request's client sent it.  What a node had taken before it was stopped it may serve to its
     end.
     """
-    stops = [(r["t"], r["to"]) for r in log if r["what"] == "fault" and r["fault"] == "stop"]
     asked = [r for r in log if r.get("to") == "control"]
     wrong = []
     for each in made:
@@ -70,20 +75,30 @@
         end = permit_end(asked, each.node, each.t)
         if end is None or each.t <= end + slack:
             continue
-        stopped = max((t for t, name in stops if name == each.node and t <= each.t), default=end)
-        if sent[each.request] >= min(stopped, end):
+        stopped = last_stop(log, each.node, each.t)
+        if sent[each.request] >= min(end if stopped is None else stopped, end):
             wrong.append(f"{each.request}: {each.node} took it by version {each.number} "
                          f"{(each.t - end) / MS:.0f} ms after its permit")  # fmt: skip
     return wrong
 
 
-def steps_back(made: Iterable[Decided]) -> list[str]:
-    """Decisions on a request's first attempt by a lower version than the node's one before."""
+def steps_back(made: Iterable[Decided], log: Sequence[Record] = (), sent: Mapping[str, int] | None = None) -> list[str]:
+    """Decisions on a request's first attempt by a lower version than the node's one before.
+
+    Attempts are seen as they reach engines, not as they were decided.  A node that is stopped in between carries out
+    after it woke what it had decided before, beside what it decides then.  So a request whose client sent it before the
+    node was last stopped (``log`` and ``sent``, as in :func:`after_permit`) is no step back.
+    """
+    sent = sent or {}
     last: dict[str, int] = {}
     wrong = []
     for each in made:
-        if each.first and each.number < last.get(each.node, 0):
-            wrong.append(f"{each.request}: {each.node} decided by {each.number} after {last[each.node]}")
-        if each.first:
-            last[each.node] = max(last.get(each.node, 0), each.number)
+        if not each.first:
+            continue
+        highest = last.get(each.node, 0)
+        stopped = last_stop(log, each.node, each.t)
+        before_stop = stopped is not None and each.request in sent and sent[each.request] < stopped
+        if each.number < highest and not before_stop:
+            wrong.append(f"{each.request}: {each.node} decided by {each.number} after {highest}")
+        last[each.node] = max(highest, each.number)
     return wrong
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import random
+import time
 from collections import deque
 from dataclasses import replace
 from pathlib import Path
@@ -108,6 +109,21 @@
     assert started().restored()[1].number == 8 and not said[-1].startswith("version 8 is turned down")
 
 
+def test_a_permit_is_good_only_once_the_version_that_came_with_it_is_in_force() -> None:
+    """A node that slept past its permit took requests on the old version for some milliseconds after it woke."""
+    control = {"url": "http://127.0.0.1:9", "steps_out": True}
+    own = parse(json.dumps(raw_settings("http://127.0.0.1:9/x", control=control)))
+    refused: list[str] = []
+    node = Controlled(own, "n", "b", None, take=lambda settings, taken: refused.append(node.refusal()),
+                      counts=lambda: (0, 0), acting=lambda: "", restart=lambda: None, log=lambda text: None,
+                      draw=random.Random(1))  # fmt: skip
+    node._follow(Answer(permit_ms=60_000, steps_out=True, document=document(1)), time.monotonic_ns())
+    assert refused == ["it has no permit yet: the control service does not answer"]
+    assert node.refusal() == "" and node.follower.running.number == 1
+    node._follow(Answer(permit_ms=60_000, steps_out=True, out="stale", lifted_by=2), time.monotonic_ns())
+    assert node.refusal() == "stale"
+
+
 class World:
     """All that may happen to one node and its disk, explored to the end: offers in any order, repeated, from two
     owners, a check or a disk that says no, a program that can't go on, a kill between any two steps."""
