Starts that a watch reports count from the news; one module reads the wall clock

Need: the wall clock may be stepped by an hour, or be wrong when a node starts. A node whose clock is ahead took an engine that had just started for warm (Hosts._entry and Listing._entry handed Unix times on as they came), which pushes it over. Waits of the standard library were checked: CPython here waits by sem_clockwait.

--- a/stonetrack/audit/collector.py
+++ b/stonetrack/audit/collector.py
@@ -13,6 +13,7 @@
 from stonetrack.audit.collecting import Question, Rounds
 from stonetrack.audit.settings import Collect
 from stonetrack.audit.store import Store
+from stonetrack.clocks import wall_time
 from stonetrack.engines.calls import CallFailed, exchange
 from stonetrack.wire import http1, writer
 
@@ -71,7 +72,7 @@
         lines = body.splitlines(keepends=True)
         self.bytes += len(body)
         before = len(stands.findings)
-        stands = self.store.add(question.node, lines, time.time())
+        stands = self.store.add(question.node, lines, wall_time())
         for line, wrong in stands.findings[before:]:
             self._log("account", node=question.node, line=line, wrong=wrong)
         return bool(head.headers.get(MORE))
--- a/stonetrack/capture/tend.py
+++ b/stonetrack/capture/tend.py
@@ -33,8 +33,10 @@
 from stonetrack.capture.history import Reading
 from stonetrack.capture.index import Builder
 from stonetrack.capture.journal import SUFFIX
-from stonetrack.capture.recorder import is_open, retain, sync_folder
+from stonetrack.capture.recorder import is_open, retain
 from stonetrack.capture.store import Saved, Store
+from stonetrack.clocks import wall_time, wall_time_ns
+from stonetrack.durable import sync_folder
 from stonetrack.logic import Router
 
 PACKED = ".packing"
@@ -148,7 +150,8 @@
         found: list[Path] = []
         for path in files:
             with contextlib.suppress(OSError):
-                if is_open(path) or (path is files[-1] and time.time() - path.stat().st_mtime < SETTLED):
+                # A time in the future is that of a wall clock that was set back: it must not hold the file for ever.
+                if is_open(path) or (path is files[-1] and 0 <= wall_time() - path.stat().st_mtime < SETTLED):
                     break
                 found.append(path)
         return found
@@ -194,7 +197,7 @@
         if damage is not None and not damage.torn:
             text = f"{path.name}: offset {damage.offset}: {damage.text}"
             self._log(f"capture: {text}")
-            self.store.note(time.time_ns(), path.name, text)
+            self.store.note(wall_time_ns(), path.name, text)
 
     def _states(self, name: str, files: list[Path]) -> Iterator[int]:
         noted = self.store.progress(name)
@@ -224,7 +227,7 @@
     def _differs(self, name: str, number: int, record: Call) -> None:
         text = f"call {number} of {name}, at {record.at}, is decided otherwise now"
         self._log(f"capture: {text}")
-        self.store.note(time.time_ns(), name, text)
+        self.store.note(wall_time_ns(), name, text)
         self.store.put_progress(name, {**self.store.progress(name), "stopped": number})
 
     def _pack(self, path: Path, router: str) -> Iterator[int]:
--- a/stonetrack/cli/keeping.py
+++ b/stonetrack/cli/keeping.py
@@ -4,7 +4,6 @@
 
 import os
 import sys
-import time
 from pathlib import Path
 
 import click
@@ -14,6 +13,7 @@
 from stonetrack.capture.store import Store
 from stonetrack.capture.tend import Tender
 from stonetrack.cli.capturing import FOLDER, Refusal, capture, module_at, plain, segments
+from stonetrack.clocks import wall_time_ns
 
 
 def _store(folder: Path) -> Store:
@@ -51,7 +51,7 @@
 def note(folder: Path, about: str, text: str) -> None:
     """Add a note ABOUT a request, a router or a segment; ls shows it."""
     with _store(folder) as store:
-        store.note(time.time_ns(), about, text)
+        store.note(wall_time_ns(), about, text)
 
 
 @click.command("tend")
--- a/stonetrack/edge/documents.py
+++ b/stonetrack/edge/documents.py
@@ -15,7 +15,7 @@
 
 
 class DocumentError(ValueError):
-    """An object longer than ``MOST`` bytes."""
+    """An object that can't be used: longer than ``MOST`` bytes, or not what the protocol has."""
 
 
 class DocumentReader:
--- a/stonetrack/edge/hosts.py
+++ b/stonetrack/edge/hosts.py
@@ -13,7 +13,9 @@
 import msgspec
 
 from stonetrack import api
+from stonetrack.edge.documents import DocumentError
 from stonetrack.engines.listing import split_address
+from stonetrack.engines.starts import Starts
 
 MS = 1_000_000
 _STATES = {
@@ -23,7 +25,7 @@
 }
 
 
-class HostsError(ValueError):
+class HostsError(DocumentError):
     """A document that can't be read; the text says why."""
 
 
@@ -68,11 +70,14 @@
         self._roles = roles
         self.engines: dict[str, Engine] = {}
         self.rev = -1
+        self._starts = Starts()
+        self._heard = False  # whether any list but the one that the configuration brought was taken
         self.passed_over: list[str] = []  # what the last document held that can't be used
 
-    def take(self, data: bytes, known: bool = False, fresh: bool = False) -> api.ServerList | None:
+    def take(self, data: bytes, now: int, known: bool = False, fresh: bool = False) -> api.ServerList | None:
         """The event of a document, None for one that is older than what is held.  Raises HostsError.
 
+        ``now`` is the node's clock in nanoseconds.
         ``known`` marks the list that the configuration brought, ``fresh`` the first document of a watch.
         """
         try:
@@ -82,7 +87,7 @@
         if document.rev < self.rev and not (document.all and fresh):
             return None
         self.passed_over = []
-        entries = [entry for target in document.targets if (entry := self._entry(target)) is not None]
+        entries = [entry for target in document.targets if (entry := self._entry(target, now)) is not None]
         if document.all:
             listed = {entry.server for entry in entries}
             self.engines = {name: engine for name, engine in self.engines.items() if name in listed}
@@ -90,10 +95,11 @@
             if entry.state is api.ServerState.REMOVED:
                 self.engines.pop(entry.server, None)
         self.rev = document.rev
+        self._heard = self._heard or not known
         kind = api.ListKind.SAVED if known else api.ListKind.FULL if document.all else api.ListKind.CHANGES
         return api.ServerList(kind, document.rev, tuple(entries))
 
-    def _entry(self, target: Target) -> api.ServerEntry | None:
+    def _entry(self, target: Target, now: int) -> api.ServerEntry | None:
         state = _STATES.get(target.state)
         if state is None:
             self._pass(target, f"state {target.state[:40]!r}")
@@ -111,7 +117,7 @@
         self.engines[target.uid] = Engine(target.uid, *address, self._roles[kind], state is api.ServerState.UP)
         weight = target.capacity_hint if 0.0 < target.capacity_hint < 1e6 else 1.0
         zone = self._zones.setdefault(target.az, len(self._zones))
-        started = max(0, int(target.boot_ms * MS))
+        started = self._starts.on_node_clock(target.uid, int(target.boot_ms * MS), now, self._heard)
         return api.ServerEntry(target.uid, zone, kind, target.pod_group, state, weight, started)
 
     def _pass(self, target: Target, why: str) -> None:
--- a/stonetrack/engines/listing.py
+++ b/stonetrack/engines/listing.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from stonetrack import api
+from stonetrack.engines.starts import Starts
 from stonetrack.settings.schema import Kind
 
 SECOND = 1_000_000_000
@@ -95,6 +96,8 @@
         self._numbers: dict[str, int] = {}  # of cells and zones given by name
         self.lines: dict[str, Line] = {}
         self.engines: dict[str, Engine] = {}
+        self.started: dict[str, int] = {}  # on the node's clock, by name
+        self._starts = Starts()
         self.version = -1
         self.origin = ""
 
@@ -119,9 +122,13 @@
         else:
             self.lines, self.engines = self.lines | lines, self.engines | engines
         kind = api.ListKind.SAVED if saved else api.ListKind[document.kind.upper()]
+        heard = self.version >= 0 and not saved
+        for line in lines.values():
+            self.started[line.name] = self._starts.on_node_clock(line.name, int(line.started * SECOND), now, heard)
         event = api.ServerList(kind, document.version, tuple(self._entry(line) for line in lines.values()))
         for name in [n for n, line in self.lines.items() if line.state is api.ServerState.REMOVED]:
             del self.lines[name], self.engines[name]
+        self.started = {name: at for name, at in self.started.items() if name in self.lines}
         self.version, self.origin = document.version, document.origin
         return event
 
@@ -133,6 +140,7 @@
         """Take over what another listing of the same kinds holds."""
         self.lines, self.engines, self.acted = other.lines, other.engines, acted
         self.version, self.origin, self._numbers = other.version, other.origin, other._numbers
+        self.started, self._starts = other.started, other._starts
 
     def saved(self, confirmed: float = 0.0) -> bytes:
         """The whole list as a document, for a restart; when the service last said that it holds."""
@@ -151,7 +159,7 @@
             self._number(line.cell),
             line.state,
             line.weight,
-            int(line.started * SECOND),
+            self.started[line.name],
         )
 
     def _engine(self, n: int, line: Line) -> Engine:
--- a/stonetrack/lists/service.py
+++ b/stonetrack/lists/service.py
@@ -28,10 +28,12 @@
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
+from stonetrack.clocks import wall_time
 from stonetrack.engines import listing
 from stonetrack.engines.listing import ListError, split_address
 from stonetrack.engines.sources import stamp
-from stonetrack.fronts.host import Connection, Host, Request, plain
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import Host, plain
 from stonetrack.fronts.refusals import error_body, plain_refusal
 from stonetrack.fronts.waiting import Waiting
 from stonetrack.lists.history import History, Line, LinesError, Told
@@ -70,7 +72,7 @@
     def __init__(self, settings: Lists, listener: socket, log: Log) -> None:
         self.settings, self._log = settings, log
         self._folder = Path(settings.state_dir)
-        self.history, owner, self._given = restore(self._folder, lambda: int(time.time()), settings.versions)
+        self.history, owner, self._given = restore(self._folder, lambda: int(wall_time()), settings.versions)
         self._fence = Fence("the list", owner)
         self._keep(self.history.origin, self.history.version, self.history.lines)
         self._turns = Turns(settings.lists_per_second, settings.waiting)
--- a/stonetrack/standin/etcd.py
+++ b/stonetrack/standin/etcd.py
@@ -25,8 +25,9 @@
 
 import msgspec
 
-from stonetrack.engines.sources import save
-from stonetrack.fronts.host import Connection, Host, Request, plain
+from stonetrack.durable import save
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import Host, plain
 from stonetrack.settings.schema import Limits, Timing
 
 FAULTS = ("slow", "late", "lost", "no_leader", "forget", "compact")
--- a/stonetrack/standin/host.py
+++ b/stonetrack/standin/host.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from stonetrack.api import Role, ServerState
+from stonetrack.clocks import wall_time
 from stonetrack.engines import load, protocol
 from stonetrack.lists.history import History
 from stonetrack.lists.keeping import new_origin
@@ -670,7 +671,7 @@
             self.later(100 * MS, lambda: self._up(slot))
             return
         now = time.monotonic_ns()
-        slot.started, slot.started_unix = now, time.time()
+        slot.started, slot.started_unix = now, wall_time()
         slot.engine = Engine(slot.spec, self.fleet.seed, now, now, self._find)
         self._watch(slot.listener, slot)
         self._note_up(slot)
--- a/stonetrack/steward/calls.py
+++ b/stonetrack/steward/calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -11,6 +10,7 @@
 
 import msgspec
 
+from stonetrack.clocks import wall_time
 from stonetrack.control.calls import ControlError
 from stonetrack.control.calls import call as control
 from stonetrack.engines import calls
@@ -95,7 +95,7 @@
             return Facts(at, listed.engines, listed.origin, listed.version, self._wanted())
         engines = self._lines()
         if kind == Check.name:
-            return Facts(at, engines, failing=self._checked(engines, time.time()))  # nodes hold it against their clocks
+            return Facts(at, engines, failing=self._checked(engines, wall_time()))  # nodes hold it against their clocks
         return Facts(at, engines, service=self._service())
 
     def _checked(self, engines: tuple[dict[str, Any], ...], at: float) -> dict[str, float | None]:
--- a/stonetrack/steward/service.py
+++ b/stonetrack/steward/service.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import random
 import secrets
 import threading
@@ -24,7 +23,9 @@
 from prometheus_client.metrics_core import CounterMetricFamily, GaugeMetricFamily, Metric
 from prometheus_client.registry import Collector
 
-from stonetrack.fronts.host import Connection, Host, Request, plain
+from stonetrack.clocks import rig_offset_ns, wall_time, wall_time_ns
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import Host, plain
 from stonetrack.fronts.refusals import error_body, plain_refusal
 from stonetrack.owning.fence import Refused, Token
 from stonetrack.owning.lease import Lease, Look, Outcome, Record, Rest, Stage, Swap, Terms
@@ -86,8 +87,8 @@
         self.me = f"{settings.name}/{secrets.token_hex(4)}"
         terms = Terms(int(settings.lease_s * SECOND), settings.drift, settings.margin_ms * 1_000_000)
         self._lease = Lease(self.me, terms, settings.rank)
-        ahead = int(os.environ.get("STONETRACK_RIG_CLOCK_MS", "0")) / 1_000.0
-        self._began = time.time() + ahead - clock() / SECOND  # a clock that is set does not reach into a job's times
+        # Once: a wall clock that is set does not reach into a job's times.
+        self._began = (wall_time_ns() + rig_offset_ns() - clock()) / SECOND
         self._draw = random.Random(self.me)
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
@@ -201,7 +202,7 @@
         self._tell(lambda lease, now: lease.swapped(now, outcome, revision, self._draw.random()))
         if outcome is Outcome.DONE and swap.record.owner == self.me and swap.record.beats == 0:
             with contextlib.suppress(RegisterError):  # for people alone
-                noted(self.register, self.settings.fleet, Taking(swap.record.term, self.me, time.time()))
+                noted(self.register, self.settings.fleet, Taking(swap.record.term, self.me, wall_time()))
 
     def _tell(self, change: Callable[[Lease, int], Lease]) -> None:
         with self._changed:
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -91,6 +91,7 @@
         self.world, self.name, self.role = world, name, role
         self.faults: deque[str] = deque()
         self.release_delay = 0.0
+        self.place_delay = 0.0
         self.load = REPORT
         self.deaf = False  # probes are not answered
         super().__init__()
@@ -109,6 +110,7 @@
             if not self.deaf:
                 sock.sendall(writer.response(200, [("X-Backend-Load", self.load)], self.load.encode()))
         elif job == "/kv/leases":
+            time.sleep(self.place_delay)
             world.note("place", self.name, request)
             with world.lock:
                 world.held.setdefault(request, set()).add("place")
@@ -225,6 +227,7 @@
         names = [*(f"r{n}" for n in range(readers)), *(f"w{n}" for n in range(writers))]
         self.engines = {name: Engine(self, name, "prefill" if name[0] == "r" else "decode") for name in names}
         self.states = dict.fromkeys(names, "SERVING")
+        self.boots = dict.fromkeys(names, 0)  # Unix time in milliseconds
         self.discovery = Discovery(self)
         self.listen = free_port()
 
@@ -239,7 +242,8 @@
 
     def document(self) -> bytes:
         targets = [{"uid": name, "endpoint": f"127.0.0.1:{engine.port}", "az": "a", "model": engine.role,
-                    "pod_group": 0, "state": self.states[name], "capacity_hint": 1.0, "boot_ms": 0}
+                    "pod_group": 0, "state": self.states[name], "capacity_hint": 1.0,
+                    "boot_ms": self.boots.get(name, 0)}
                    for name, engine in self.engines.items()]  # fmt: skip
         return json.dumps({"rev": self.rev, "all": True, "targets": targets}).encode()
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -88,12 +88,12 @@
 
 
 def test_a_head_becomes_an_ask() -> None:
-    made = asks.ask(head(X_Repeat="1"), b"{}", {"chat": 0, "plan": 1}, 100_000_000, 7_000_000_000)
+    made = asks.ask(head(X_Repeat="1"), b"{}", {"chat": 0, "plan": 1}, 100_000_000, 7_000_000_000, {})
     assert (made.request, made.class_index, made.session) == ("9b1f03aa5c7e2d41", 1, "7f")
     assert made.time_left == 4_700_000_000 - asks.MARGIN and made.body.deadline == 11_700_000_000
     assert (made.prompt_tokens, made.shared_beginning, made.shared_tokens) == (5120, "5c0f", 2048)
     assert made.max_answer_tokens == 800 and made.repeated
-    plain = asks.ask(head(X_Facts=None), b"x" * 400, {"plan": 1}, 0, 0)
+    plain = asks.ask(head(X_Facts=None), b"x" * 400, {"plan": 1}, 0, 0, {})
     assert plain.prompt_tokens == 100 and plain.shared_beginning is None and not plain.repeated
     assert asks.time_left("1500u") == 1_500_000
 
@@ -106,13 +106,13 @@
 ])  # fmt: skip
 def test_a_bad_head_is_refused(changes: dict[str, str | None]) -> None:
     with pytest.raises(asks.BadAsk):
-        asks.ask(head(**changes), b"{}", {"plan": 0}, 0, 0)
+        asks.ask(head(**changes), b"{}", {"plan": 0}, 0, 0, {})
 
 
 def test_a_header_that_stands_twice_is_refused() -> None:
     twice = http1.Headers([*head().headers, ("x-correlation-id", "another")])
     with pytest.raises(asks.BadAsk, match="twice|2 times"):
-        asks.ask(http1.RequestHead("POST", asks.CHAT, twice, True, 2), b"{}", {"plan": 0}, 0, 0)
+        asks.ask(http1.RequestHead("POST", asks.CHAT, twice, True, 2), b"{}", {"plan": 0}, 0, 0, {})
 
 
 EVENTS = [
@@ -213,23 +213,26 @@
     return json.dumps({"rev": rev, "all": whole, "targets": targets}).encode()
 
 
+NOW = 1_700_000_100 * 10**9  # on the node's clock
+
+
 def held() -> hosts.Hosts:
     return hosts.Hosts(("prefill", "decode"), ("a", "b"), (READER, WRITER))
 
 
 def test_lists_and_changes_by_version() -> None:
     made = held()
-    first = made.take(listing(4, target("s1"), target("s2", model="decode", az="b"), whole=True), known=True)
+    first = made.take(listing(4, target("s1"), target("s2", model="decode", az="b"), whole=True), NOW, known=True)
     assert first is not None and first.kind is api.ListKind.SAVED and first.version == 4
     assert [(e.zone, e.kind, e.cell) for e in first.entries] == [(0, 0, 3), (1, 1, 3)]
-    change = made.take(listing(6, target("s1", state="DRAINING", boot_ms=1_700_000_000_000)))
+    change = made.take(listing(6, target("s1", state="DRAINING", boot_ms=1_700_000_000_000)), NOW)
     assert change is not None and change.kind is api.ListKind.CHANGES
     assert change.entries[0].state is api.ServerState.DRAINING and change.entries[0].started == 1_700_000_000 * 10**9
     assert not made.engines["s1"].up
-    assert made.take(listing(5, target("s1"))) is None and not made.engines["s1"].up  # older: passed over
-    gone = made.take(listing(7, {"uid": "s1", "state": "DELETED"}))
+    assert made.take(listing(5, target("s1")), NOW) is None and not made.engines["s1"].up  # older: passed over
+    gone = made.take(listing(7, {"uid": "s1", "state": "DELETED"}), NOW)
     assert gone is not None and gone.entries[0].state is api.ServerState.REMOVED and list(made.engines) == ["s2"]
-    whole = made.take(listing(3, target("s9"), whole=True), fresh=True)
+    whole = made.take(listing(3, target("s9"), whole=True), NOW, fresh=True)
     assert whole is not None and whole.kind is api.ListKind.FULL and list(made.engines) == ["s9"] and made.rev == 3
 
 
@@ -255,11 +258,11 @@
 
 def test_what_cannot_be_used_is_named_and_takes_nothing_along() -> None:
     made = held()
-    event = made.take(listing(1, target("s1", model="m9"), target("s2", endpoint="x"), target("s3"), whole=True))
+    event = made.take(listing(1, target("s1", model="m9"), target("s2", endpoint="x"), target("s3"), whole=True), NOW)
     assert event is not None and [e.server for e in event.entries] == ["s3"] and len(made.passed_over) == 2
     for data in (b"{", b"[]", b'{"rev":"x"}', b"\xff", b"[" * 100_000):
         with pytest.raises(hosts.HostsError):
-            made.take(data)
+            made.take(data, NOW)
     assert list(made.engines) == ["s3"]
 
 
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -17,15 +17,17 @@
 
 from stonetrack import api
 from stonetrack.api import LoadReport, Outcome, Role
+from stonetrack.durable import save
 from stonetrack.engines import load, protocol
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.keeping import Keeping
 from stonetrack.engines.listing import ListError, Listing
-from stonetrack.engines.pool import Pool, readable
+from stonetrack.engines.pool import Pool
 from stonetrack.engines.releases import Heard, Item, ReleaseBook
 from stonetrack.engines.reuse import Rest
-from stonetrack.engines.sources import ListSource, save
+from stonetrack.engines.sources import ListSource
 from stonetrack.node.ports import Ask, AttemptEvent, Began, Over, Piece
+from stonetrack.node.sockets import readable
 from stonetrack.settings.schema import Kind, Source
 from stonetrack.wire import http1, sse, writer
 from tests.rig import wait_for
@@ -277,7 +279,7 @@
     theirs = [server.accept()[0] for _ in range(2)]
     for sock in theirs:
         sock.close()
-    assert readable(second, 2.0)
+    assert readable(second, 2_000.0)
     pool.prune()
     assert pool.kept(host, port) == 0 and pool.keeping.usable((host, port), time.monotonic()) < 0.7
     plain = Pool(4, idle=0.05)
@@ -333,7 +335,7 @@
 
 def test_a_list_and_its_changes() -> None:
     listing = Listing(KINDS)
-    event = listing.take(document(line("a"), line("b", kind="writer", cell="row-2", started=5.5)), 0)
+    event = listing.take(document(line("a"), line("b", kind="writer", cell="row-2", started=5.5)), 100 * 10**9)
     assert event.kind is api.ListKind.FULL and [e.server for e in event.entries] == ["a", "b"]
     assert event.entries[1].kind == 1 and event.entries[1].started == 5_500_000_000
     event = listing.take(document(line("a", state="draining"), version=2, kind="changes"), 0)
