Slow start: the budget binds the fleet's sum, every call counts; the module is formatted

Lines at fault: Router._usable left it a share of the arrivals, however many of these are carried at all; by the servers it was handed, so that a place was taken up by the share of a fleet of one; and places and probes went there beside it. Change: share of what warm peers are seen to carry, by role and weight, at 0.42 of the budget (derived beside SLOW_START_AIM); no place, no probe, one send of a request.

--- a/stonetrack/capture/snapshot.py
+++ b/stonetrack/capture/snapshot.py
@@ -22,7 +22,7 @@
 FORMAT = 1
 ROUTER = (
     "settings", "now", "actions", "servers", "requests", "held", "out", "pools", "by_probe", "homes", "interval",
-    "arrived_at", "held_back", "credit", "latency", "prompt_work", "allowance", "subscribe_at", "timer_set",
+    "arrived_at", "held_back", "credit", "latency", "prompt_work", "allowance", "flow", "subscribe_at", "timer_set",
 )  # fmt: skip
 TABLE = ("limit", "blocks", "entries")
 OURS = ("Stat", "Pause", "Server", "Request")  # of logic
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -8,6 +8,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 from enum import Enum
+from math import exp
 from zlib import crc32
 
 from stonetrack import api
@@ -44,11 +45,21 @@
 PROVEN_FOR = 20 * SECOND  # so long a good outcome recommends a server to a further attempt
 QUOTA_SPAN = 4 * SECOND  # a tenant may use this much of its quota at once
 WRITER_WAITS = 200 * MS  # a writer whose first tokens take longer has no room
-COLD_SAFETY = 0.5  # share used of the budget that a cold server is known to bear
+# A server in slow start that may get N calls in a window falls at more than N + 2 sqrt(N) + 2 (under 30: at more than
+# N + 3 sqrt(N) + 3).  Its calls are a random count: each request goes there by a hash.  A Poisson count of mean 0.63 N
+# passes that bound with a chance below one in a million for every N (N = 30 is the tightest: mean 19, bound 42.9).
+# Where the arrivals jump to three times what the fleet carries, what is seen of them lags by a quarter of the window,
+# so the first window gets up to 1.5 times the mean.  So the mean aimed at is 0.63 / 1.5 of N.
+SLOW_START_AIM = 0.42
+FLOW_SHARE = 0.25  # of the slow-start window: how long an arrival or a good outcome counts, in the mean
+FLOW_LEAST = SECOND // 4
+LOAD_UNKNOWN = 1 / 3  # of the arrivals are taken as carried where nothing is known: three times capacity may be asked
+LOAD_WEIGHT = 1.0  # requests as which that counts
 PACED = 3  # outcomes of a role from which its pace is known
 SMOOTH = 0.2  # weight of a new sample in running means
 
 ALL = -1  # stands for every class
+ARRIVALS, READS, WRITES = "arrivals", "reads", "writes"  # what is counted of a fleet's flow: the last two where warm
 UNPROVEN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)  # it may have run
 UNREACHED = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # nothing of the attempt was at any engine
 
@@ -177,6 +188,7 @@
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
     stands_since: int = 0  # when the last attempt that reached an engine ended: a state waits since then
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
+    eased: tuple[str, ...] = ()  # servers in slow start that it was sent to: never again, so that their budget holds
     pair: tuple[str, ...] = ()  # readers that were asked for their reports before the first send
     asked_at: int = 0
     ran_on: str = ""  # first server where it may have run
@@ -207,6 +219,7 @@
         self.latency = {role: Stat() for role in Role}
         self.prompt_work = Stat()  # tokens to read of one request
         self.allowance: dict[int, tuple[float, int]] = {}  # requests left within a tenant's quota, and when
+        self.flow: dict[str, tuple[float, int]] = {}  # fading counts of ARRIVALS, READS and WRITES, and when
         self.subscribe_at = 0
         self.timer_set = False
 
@@ -243,9 +256,10 @@
 
         Raises ValueError where they don't, and nothing changed."""
         for what, old, new in (
-                ("classes", [c.name for c in self.settings.classes], [c.name for c in settings.classes]),
-                ("tenants", [t.name for t in self.settings.tenants], [t.name for t in settings.tenants])):
-            if new[:len(old)] != old:
+            ("classes", [c.name for c in self.settings.classes], [c.name for c in settings.classes]),
+            ("tenants", [t.name for t in self.settings.tenants], [t.name for t in settings.tenants]),
+        ):
+            if new[: len(old)] != old:
                 raise ValueError(f"settings: {what} {new}: {old} have to come first")
         if settings.kinds != self.settings.kinds:
             raise ValueError("settings: kinds can't change while servers of them are known")
@@ -339,8 +353,11 @@
         for s in servers:
             idle = 1.0 - (relative[s.name] - low) / spread
             memory = used[s.name] if reported else s.states / most_states
-            result[s.name] = (WEIGHT_PREFIX * clamp(covered[s.name] / max(request.prompt, 1))
-                              + WEIGHT_LOAD * clamp(idle) + WEIGHT_MEMORY * clamp(1.0 - memory)) / WEIGHTS
+            result[s.name] = (
+                WEIGHT_PREFIX * clamp(covered[s.name] / max(request.prompt, 1))
+                + WEIGHT_LOAD * clamp(idle)
+                + WEIGHT_MEMORY * clamp(1.0 - memory)
+            ) / WEIGHTS
         return result
 
     # The choices.
@@ -348,8 +365,9 @@
     def _choose_reader(self, request: Request) -> Server | None:
         """The reader with the highest score, unless the answer would come too late from any."""
         whole = self.pools[Role.WRITER] if self.settings.writers_read else []
-        servers = (self._usable(self.pools[Role.READER] + self.pools[Role.MIXED], request)
-                   or self._usable(whole, request))
+        servers = self._usable(self.pools[Role.READER] + self.pools[Role.MIXED], request) or self._usable(
+            whole, request
+        )
         if not servers:
             return None
         if not request.attempts and self._asks():
@@ -369,8 +387,7 @@
         expected = {s.name: (wait + self._read_time(s, work[s.name])) / request.aim() for s in servers}
         # Others that were asked before a refusal read the prompt anew: only one with much room takes it,
         # since that work makes the next one late where all are near their limit.  Could refuse one in time.
-        servers = [s for s in servers
-                   if s.name not in request.pair[2:] or expected[s.name] <= CROWDED] or servers
+        servers = [s for s in servers if s.name not in request.pair[2:] or expected[s.name] <= CROWDED] or servers
         first = self._best_reader(request, servers, scores, covered)
         if request.pair and self.latency[first.role].count < PACED:
             # Exception (no pace): after a restart nothing tells how long a backlog takes, so the backlogs are
@@ -385,8 +402,9 @@
         request.expected = expected[best.name]
         return best
 
-    def _best_reader(self, request: Request, servers: list[Server], scores: dict[str, float],
-                     covered: dict[str, int]) -> Server:
+    def _best_reader(
+        self, request: Request, servers: list[Server], scores: dict[str, float], covered: dict[str, int]
+    ) -> Server:
         if not any(covered[s.name] for s in servers):
             # Exception (unknown key): no own table holds it, so what scores about the same is a tie for the
             # hash of the key alone, and routers that share nothing send it to one reader.
@@ -397,14 +415,15 @@
 
     def _asks(self) -> bool:
         """Whether readers are asked for their load: so many that no router hears enough of each."""
-        return (self.homes > 1 and self.settings.may_probe
-                and self.settings.report_source is api.ReportSource.ANSWERS)
+        return self.homes > 1 and self.settings.may_probe and self.settings.report_source is api.ReportSource.ANSWERS
 
     def _ask(self, request: Request, servers: list[Server]) -> None:
         """Ask the reader of the first key and one beside it, where they have not told their load just now."""
         first = max(servers, key=lambda s: spread_hash(request.keys[0][0], s.name))
-        pair = [first, *sorted((s for s in servers if s is not first),
-                               key=lambda s: -spread_hash(request.beside, s.name))[:1]]
+        pair = [
+            first,
+            *sorted((s for s in servers if s is not first), key=lambda s: -spread_hash(request.beside, s.name))[:1],
+        ]
         self._ask_also(request, pair)
 
     def _ask_also(self, request: Request, servers: list[Server]) -> None:
@@ -412,7 +431,7 @@
         reader would look empty."""
         request.pair, request.asked_at = (*request.pair, *(s.name for s in servers)), self.now
         asked = [self.servers[name] for name in request.pair if name in self.servers]
-        self.actions += [api.Probe(s.name) for s in asked if not self._fresh(s, ASK_WAIT + SWEEP)]
+        self.actions += [api.Probe(s.name) for s in asked if self._warm(s) and not self._fresh(s, ASK_WAIT + SWEEP)]
 
     def _look_further(self, request: Request) -> bool:
         """Whether it waits for the reports of two other readers, asked once.
@@ -433,8 +452,13 @@
 
     def _awaited(self, request: Request, name: str) -> bool:
         server = self.servers.get(name)
-        return (server is not None and not self._fresh(server) and not self._paused(server, ALL)
-                and self.now < request.asked_at + ASK_WAIT)
+        return (
+            server is not None
+            and self._warm(server)
+            and not self._fresh(server)
+            and not self._paused(server, ALL)
+            and self.now < request.asked_at + ASK_WAIT
+        )
 
     def _backlog(self, server: Server) -> float:
         """Tokens to be read there, other routers' too where a report tells of them just now."""
@@ -442,14 +466,12 @@
         return max(server.work_out, (load or 0.0) * server.weight)
 
     def _choose_writer(self, request: Request, cell: int | None) -> Server | None:
-        servers = (self._usable(self.pools[Role.WRITER], request)
-                   or self._usable(self.pools[Role.MIXED], request))
+        servers = self._usable(self.pools[Role.WRITER], request) or self._usable(self.pools[Role.MIXED], request)
         if not servers:
             return None
         # Exception (full memory): where own requests wait for a first token, long prompts fill the memory
         # unseen in the count of streams.  Covers slow and hung writers; could move a state out of its cell.
-        servers = [s for s in servers if not s.waiting
-                   or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
+        servers = [s for s in servers if not s.waiting or self.now - min(s.waiting.values()) <= WRITER_WAITS] or servers
         streams, mean = self._weigh([(s, self._streams(s)) for s in servers])
 
         def load(server: Server) -> tuple[float, float]:
@@ -482,16 +504,25 @@
 
     def _usable(self, servers: list[Server], request: Request) -> list[Server]:
         """Servers that are up and may be sent this request."""
-        cold = COLD_SAFETY * self.settings.cold_multiple * self.settings.cold_share / max(len(servers), 1)
         # A cold server is sent the few requests whose hash falls into its share of all: this holds for all
         # routers together, however many, since each leaves as much to it, and sends each request once there:
         # where all are cold nothing else may take one that failed, and all repeats would come to it.
         # Guards fleets that all start at once past what they can do; could give up one that would be read.
-        group = [s for s in servers if s.state is ServerState.UP
-                 and not self._paused(s, ALL) and not self._paused(s, request.class_index)
-                 and (s.cold_until <= self.now
-                      or s.name not in request.failed and spread_hash(request.name, s.name) < cold)
-                 and self._may_repeat(request, s)]
+        shares = {role: self._slow_start_share(role) for role in {s.role for s in servers if not self._warm(s)}}
+        group = [
+            s
+            for s in servers
+            if s.state is ServerState.UP
+            and not self._paused(s, ALL)
+            and not self._paused(s, request.class_index)
+            and (
+                self._warm(s)
+                or s.name not in request.failed
+                and s.name not in request.eased
+                and spread_hash(request.name, s.name) < shares[s.role] * s.weight
+            )
+            and self._may_repeat(request, s)
+        ]
         least = self.now - PROVEN_FOR
         if not request.failed and self.held_back.get(request.class_index, least) <= least:
             return [s for s in group if s.cold_until > self.now] or group
@@ -500,6 +531,34 @@
         # goes where the class was served of late.
         return [s for s in group if s.took.get(request.class_index, least) > least] or group
 
+    def _warm(self, server: Server) -> bool:
+        """Whether it is past its slow start."""
+        return server.cold_until <= self.now
+
+    def _slow_start_share(self, role: Role) -> float:
+        """Share of the arrivals that a server of this role and of weight 1 is sent while in slow start.
+
+        It may get ``cold_multiple`` times ``cold_share`` of what it would carry when warm.  No router knows that rate;
+        but all together leave it the same share of their arrivals, as far as its warm peers are seen to carry these.
+        What arrives beyond that is no measure of what a server can do."""
+        writes = role is Role.WRITER
+        peers = self.pools[role] if writes else self.pools[Role.READER] + self.pools[Role.MIXED]
+        total = sum(s.weight for s in peers)
+        warm = sum(s.weight for s in peers if self._warm(s))
+        carried = LOAD_UNKNOWN
+        if warm:
+            seen = self._flow(WRITES if writes else READS) * total / warm
+            carried = min(1.0, (seen + LOAD_UNKNOWN * LOAD_WEIGHT) / (self._flow(ARRIVALS) + LOAD_WEIGHT))
+        return SLOW_START_AIM * self.settings.cold_multiple * self.settings.cold_share * carried / max(total, 1e-9)
+
+    def _flow(self, what: str) -> float:
+        """How many there were of late; each counts less as it grows old."""
+        count, at = self.flow.get(what, (0.0, self.now))
+        return count * exp((at - self.now) / max(FLOW_SHARE * self.settings.cold_window, FLOW_LEAST))
+
+    def _count_flow(self, what: str) -> None:
+        self.flow[what] = (self._flow(what) + 1.0, self.now)
+
     def _paused(self, server: Server, key: int) -> bool:
         return key in server.paused and server.paused[key].until > self.now
 
@@ -511,6 +570,8 @@
         pause.until = self.now + pause.span
 
     def _good(self, server: Server, request: Request, elapsed: int) -> None:
+        if self._warm(server):
+            self._count_flow(WRITES if server.role is Role.WRITER else READS)
         stat = self.latency[server.role]
         pace = elapsed / request.queue  # reads: for each token that stood before them and in them
         server.pace += (SMOOTH if server.pace else 1.0) * (pace - server.pace)
@@ -535,7 +596,7 @@
     def _probe_ended(self, event: api.ProbeEnded) -> None:
         server = self.servers.get(event.server)
         self._take_report(server, event.report)
-        if server is not None and event.outcome is not Outcome.SERVED:
+        if server is not None and event.outcome not in (Outcome.SERVED, Outcome.NOT_SENT):
             self._eject(server, event.outcome.value)
         for name in [n for n in self.held if event.server in self.requests[n].pair]:
             self._advance(self.requests[name])
@@ -563,11 +624,21 @@
         cls = self.settings.classes[event.class_index]
         wanted = cls.first_token_aim + cls.aim_per_1000_tokens * event.prompt_tokens / 1000.0
         request = Request(
-            event.request, cls, event.class_index, self._over_share(event.tenant), event.session,
-            tuple(keys or [(event.request, 0)]), beside, event.prompt_tokens, wanted,
-            self.now, self.now + event.time_left)
+            event.request,
+            cls,
+            event.class_index,
+            self._over_share(event.tenant),
+            event.session,
+            tuple(keys or [(event.request, 0)]),
+            beside,
+            event.prompt_tokens,
+            wanted,
+            self.now,
+            self.now + event.time_left,
+        )
         self.requests[request.name] = request
         self._advance(request)
+        self._count_flow(ARRIVALS)  # after its own choice: nothing of it can have been carried yet
 
     def _over_share(self, tenant: int) -> bool:
         """Take one from the tenant's allowance here: its quota among the routers, for QUOTA_SPAN."""
@@ -601,7 +672,8 @@
         else:
             server = self._choose_reader(request)
             worth = request.cls.worth * (self.settings.over_share_worth if request.over_share else 1.0)
-            bound = ADMIT_LOW + (ADMIT - ADMIT_LOW) * worth / max(c.worth for c in self.settings.classes)
+            most = max(c.worth for c in self.settings.classes) or 1.0  # where nothing is worth anything, all are alike
+            bound = ADMIT_LOW + (ADMIT - ADMIT_LOW) * worth / most
             if server is not None and request.expected > bound and self._may_refuse(request):
                 if not self._look_further(request):
                     return self._give_up(request)  # it would be late: the work had better go to others
@@ -627,16 +699,19 @@
     def _writers_wait(self) -> float:
         """Writers are also judged by who waits there now: their first tokens tell of it too late."""
         ages = [self.now - min(s.waiting.values()) for s in self.pools[Role.WRITER] if s.waiting]
-        return max(self.latency[Role.WRITER].recent(self.now, self.interval),
-                   sum(ages) / max(len(self.pools[Role.WRITER]), 1))
+        return max(
+            self.latency[Role.WRITER].recent(self.now, self.interval), sum(ages) / max(len(self.pools[Role.WRITER]), 1)
+        )
 
     def _look_ahead(self, request: Request, cell: int) -> None:
         """Ask the writer in view for a place, or it and one beside it for their reports, during the read."""
         writer = self._choose_writer(request, cell)
-        if writer is not None and self.by_probe:
+        if writer is None or not self._warm(writer):
+            return  # in slow start every call counts, so the send is its only one
+        if self.by_probe:
             beside = [s for s in self.pools[Role.WRITER] if s.cell == writer.cell and s is not writer]
-            self.actions += [api.Probe(s.name) for s in [writer, *beside[:1]]]
-        if writer is not None and self.settings.may_hold_place:
+            self.actions += [api.Probe(s.name) for s in [writer, *beside[:1]] if self._warm(s)]
+        if self.settings.may_hold_place:
             request.place, request.holds = writer.name, True
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
@@ -661,6 +736,8 @@
         request.phase, request.server, request.sent = phase, server.name, self.now
         request.writing = phase is Phase.WRITING
         server.waiting[request.name] = self.now
+        if not self._warm(server):
+            request.eased += (server.name,)
         request.work, request.queue = 0.0, float(len(server.waiting))
         if phase is Phase.READING or not request.reader:
             before = self._backlog(server)
@@ -794,19 +871,20 @@
         if not request.ran_on or request.cls.effect is Effect.SAFE:
             return True
         first = self.servers.get(request.ran_on)
-        if (request.cls.effect is Effect.UNSAFE or first is None
-                or self.now >= request.ran_at + request.cls.key_window):
+        if request.cls.effect is Effect.UNSAFE or first is None or self.now >= request.ran_at + request.cls.key_window:
             return False
-        return {api.Scope.ALL: True, api.Scope.ZONE: server.zone == first.zone,
-                api.Scope.CELL: server.cell == first.cell}[request.cls.scope]
-
+        return {
+            api.Scope.ALL: True,
+            api.Scope.ZONE: server.zone == first.zone,
+            api.Scope.CELL: server.cell == first.cell,
+        }[request.cls.scope]
 
     def _call_off(self, request: Request, server: Server) -> None:
         """An attempt is late: take it back while there is time for another.
 
         Covers hung and silent servers and answers that are lost.  In an overload all are late: calls off
         are paid for by timely outcomes, so that work is not doubled then."""
-        if self._asks() and not request.writing:
+        if self._asks() and not request.writing and self._warm(server):
             # Exception (busy): engines read on after a call off: a reader that tells of work is waited for.
             # Guards against calls off of all routers at once; could wait for one that hangs with work queued.
             if request.asked_at <= request.sent and not self._fresh(server):
@@ -821,8 +899,12 @@
         again = request.cls.effect is Effect.SAFE or not request.writing
         steps = 1 if request.reader or request.writing and not request.work else 2
         moves = server.answered < request.sent <= server.good_at  # what was sent before it still comes
-        if moves or not (again and self.settings.may_cancel and self.credit >= 1.0
-                         and request.attempts + 1 + steps <= self.settings.max_attempts):
+        if moves or not (
+            again
+            and self.settings.may_cancel
+            and self.credit >= 1.0
+            and request.attempts + 1 + steps <= self.settings.max_attempts
+        ):
             return
         self.credit -= 1.0
         request.due = float("inf")
