--- a/stonetrack/control/service.py
+++ b/stonetrack/control/service.py
@@ -32,8 +32,9 @@
 from stonetrack.control.settings import SECOND, Control, rules
 from stonetrack.control.stale_nodes import Evidence, Node, Order, orders
 from stonetrack.control.wire import Answer, Report
-from stonetrack.engines.sources import save
-from stonetrack.fronts.host import Connection, Host, Request, plain
+from stonetrack.durable import save
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import Host, plain
 from stonetrack.fronts.refusals import error_body, plain_refusal
 from stonetrack.fronts.waiting import Waiting
 from stonetrack.node.drive import Waker
--- a/stonetrack/daemon/instance.py
+++ b/stonetrack/daemon/instance.py
@@ -32,6 +32,7 @@
 from stonetrack.capture.codec import Header
 from stonetrack.capture.recorder import Recorder
 from stonetrack.capture.redact import settings_without_names
+from stonetrack.clocks import node_clock
 from stonetrack.control.documents import NOTHING, Document
 from stonetrack.daemon import meters
 from stonetrack.daemon.controlled import Controlled
@@ -48,7 +49,7 @@
 from stonetrack.fronts.host import Host
 from stonetrack.fronts.service import Record
 from stonetrack.logic import Router
-from stonetrack.node.core import Core, Decider, unix_clock
+from stonetrack.node.core import Core, Decider
 from stonetrack.node.drive import Bounds, Drive, Waker
 from stonetrack.node.life import Life
 from stonetrack.node.ports import Ask, Sink
@@ -134,8 +135,13 @@
             and settings.capture == before.capture
             and settings.audit == before.audit
             and settings.control.mark == before.control.mark
+            and not self.another_deployment(settings)
         )
 
+    def another_deployment(self, settings: Node) -> bool:
+        """Whether settings are of other classes, or other tenants, altogether."""
+        return self.places.another_deployment(router_settings(settings, self._index, self._instances))
+
     def adopt(self, settings: Node, version: Document) -> list[str]:
         """Go on under other settings; the names that no longer fit and were dropped."""
         told = router_settings(settings, self._index, self._instances)
@@ -258,7 +264,7 @@
         self._log = log
         self._make_router = make_router
         self._seed = int.from_bytes(os.urandom(6)) if seed is None else seed
-        self.clock = unix_clock()
+        self.clock = node_clock()
         self.started = time.monotonic()
         self.draining = False
         self._lock = threading.Lock()
@@ -274,7 +280,7 @@
             settings, version = self._control.restored()
         self._current = self._generation(settings, version)
         self._readiness = self._make_readiness(settings)
-        self.meters = meters.Meters(self._read, [c.name for c in settings.classes], [t.name for t in settings.tenants])
+        self.meters = self._make_meters(settings)
         self._source = self._follow(settings)
         self.app = App(self)
         self.host = Host(listener, settings.limits, settings.timing, self.app.handle, refusal, self._warn)
@@ -307,6 +313,9 @@
             every=wanted.every_ms * MS, file_bytes=wanted.file_bytes, most_files=wanted.files, log=self._warn
         )  # fmt: skip
 
+    def _make_meters(self, settings: Node) -> meters.Meters:
+        return meters.Meters(self._read, [c.name for c in settings.classes], [t.name for t in settings.tenants])
+
     def _make_readiness(self, settings: Node) -> Readiness:
         return Readiness(
             settings, self.clock, lambda name: self._current.engines.reach(name), self._say, random.Random()
@@ -369,6 +378,8 @@
                 self._source = self._follow(settings)
                 self._source.start()
             self.host.timing = settings.timing
+            if not kept and old.another_deployment(settings):
+                self.meters = self._make_meters(settings)  # what was counted is of names that these settings lack
             self.meters.names([c.name for c in settings.classes], [t.name for t in settings.tenants])
         self._log.info("settings changed", instance=self.name, settings=named(settings, version), dropped=dropped)
         self._retire()
@@ -423,9 +434,9 @@
 
     def serve(self, ask: Ask, sink: Sink, waker: Waker) -> Life:
         """Run one request to its end.  Raises ApiError where none may be taken."""
-        generation = self._current
         if self._control is not None and (why := self._control.refusal()):
             raise ApiError(503, f"this node takes no requests: {why}", code="node_out", headers=(("Retry-After", "1"),))
+        generation = self._current  # after the permit was looked at: never an older version than the permit is for
         ask = generation.placed(ask)
         life = Drive(generation.core, generation.engines, generation.bounds, ask, sink, waker).run()
         if self._old:
@@ -471,10 +482,8 @@
             instance=self.name,
             front=record.front,
             request=record.request,
-            cls=self.settings.classes[record.class_index].name
-            if record.class_index < len(self.settings.classes)
-            else record.class_index,
-            tenant=record.tenant,
+            cls=record.class_name,
+            tenant=record.tenant_name,
             status=record.status,
             ended=record.ended,
             ms=round(record.took / 1e6, 2),
--- a/stonetrack/daemon/meters.py
+++ b/stonetrack/daemon/meters.py
@@ -13,6 +13,7 @@
 from stonetrack.fronts.service import Record
 
 SECOND = 1e9
+OTHER = "other"  # a class or tenant that the settings no longer have
 _FIRST = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0)
 
 
@@ -32,8 +33,8 @@
 
     def __init__(self, read: Callable[[], Iterable[Metric]], classes: list[str], tenants: list[str]) -> None:
         self.registry = CollectorRegistry()
-        self._children: dict[tuple[str, int, int, str], tuple[Counter, Counter, Histogram, Histogram]] = {}
-        self._classes, self._tenants = classes, tenants
+        self._children: dict[tuple[str, str, str, str], tuple[Counter, Counter, Histogram, Histogram]] = {}
+        self.names(classes, tenants)
         self.requests = Counter(
             "stonetrack_requests",
             "Requests by how they ended",
@@ -59,15 +60,15 @@
 
     def names(self, classes: list[str], tenants: list[str]) -> None:
         """Take the names of new settings; what was counted stays."""
-        self._classes, self._tenants = classes, tenants
         self._children.clear()
+        self._classes, self._tenants = frozenset(classes), frozenset(tenants)
 
     def note(self, record: Record) -> None:
-        """Count one request."""
-        key = (record.front, record.class_index, record.tenant, record.ended)
+        """Count one request; one that came under settings that lack its class or tenant now counts as ``OTHER``."""
+        key = (record.front, record.class_name, record.tenant_name, record.ended)
         if (found := self._children.get(key)) is None:  # looking labels up anew costs more than counting
-            name = self._name(self._classes, record.class_index)
-            tenant = self._name(self._tenants, record.tenant)
+            name = record.class_name if record.class_name in self._classes else OTHER
+            tenant = record.tenant_name if record.tenant_name in self._tenants | {""} else OTHER
             found = (self.requests.labels(record.front, name, tenant, record.ended), self.attempts.labels(name),
                      self.took.labels(name), self.first.labels(name))  # fmt: skip
             self._children[key] = found
@@ -78,10 +79,6 @@
         if record.first >= 0:
             first.observe(record.first / SECOND)
 
-    @staticmethod
-    def _name(names: list[str], index: int) -> str:
-        return names[index] if 0 <= index < len(names) else str(index)
-
     def page(self) -> tuple[bytes, str]:
         """The metrics page and its content type."""
         return generate_latest(self.registry), CONTENT_TYPE_LATEST
--- a/stonetrack/daemon/places.py
+++ b/stonetrack/daemon/places.py
@@ -2,7 +2,7 @@
 
 The router counts classes and tenants by their place, and requests are read by a front under one version of the settings
 and decided under the next.  So a name keeps its place for as long as the router lives: new names are added behind, and
-one that is gone keeps its place and its last values, for the requests that came with it.
+one that is gone keeps its place, for the requests that came with it, and counts for nothing else.
 """
 
 from __future__ import annotations
@@ -27,12 +27,21 @@
 
     def laid_out(self, settings: api.Settings) -> api.Settings:
         """Other settings with everything at its place."""
+        named = {each.name for each in settings.classes}
+        classes = _laid(self.settings.classes, settings.classes)
         return replace(
             settings,
-            classes=_laid(self.settings.classes, settings.classes),
+            # The worth of one that is gone would weigh against those that are asked for.
+            classes=tuple(each if each.name in named else replace(each, worth=0.0) for each in classes),
             tenants=_laid(self.settings.tenants, settings.tenants),
         )
 
+    def another_deployment(self, settings: api.Settings) -> bool:
+        """Whether other settings have no class, or no tenant, in common with these: nothing learned is for them."""
+        classes = {each.name for each in self.settings.classes} & {each.name for each in settings.classes}
+        ours, theirs = ({each.name for each in s.tenants} for s in (self.settings, settings))
+        return not classes or bool(ours and theirs and not ours & theirs)
+
     def gone(self, settings: api.Settings) -> list[str]:
         """What other settings no longer have, by name."""
         classes = {c.name for c in settings.classes}
--- a/stonetrack/edge/asks.py
+++ b/stonetrack/edge/asks.py
@@ -1,8 +1,9 @@
 """A client's request as the router is to see it, or why it can't be taken.  No I/O.
 
-Only heads are read; the body goes to the engines as it came, and what is in it is theirs to judge.  All that is
-doubtful in a head that decides something is refused: an id goes into the path of calls to engines, so it is held to
-plain characters; a header that stands twice is read by nobody knows whom.
+Only heads are read; the body goes to the engines as it came, and what is in it is theirs to judge.  So do headers that
+are not of one connection alone (RFC 9110, 7.6.1): an idempotency key is the client's and the engines', also where the
+node has no use for it.  All that is doubtful in a head that decides something is refused: an id goes into the path of
+calls to engines, so it is held to plain characters; a header that stands twice is read by nobody knows whom.
 """
 
 from __future__ import annotations
@@ -24,14 +25,20 @@
 _UNITS = {"m": MS, "u": 1_000}
 _FACT = re.compile(r"([a-z_0-9]{1,32})=([^,=\s]{1,200})")
 _COUNT = re.compile(r"[0-9]{1,9}")
-ID, CLASS, SESSION, LEFT, FACTS, REPEAT = (
+ID, CLASS, SESSION, LEFT, FACTS, REPEAT, TENANT = (
     "x-correlation-id",
     "x-service-class",
     "x-session-key",
     "x-time-left",
     "x-facts",
     "x-repeat",
+    "x-account",
 )
+_OF_ONE_CONNECTION = frozenset({
+    "connection", "expect", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te",
+    "trailer", "transfer-encoding", "upgrade",
+})  # fmt: skip
+_WRITTEN_ANEW = frozenset({"host", "content-length", ID, LEFT})
 
 
 class BadAsk(ValueError):
@@ -49,6 +56,7 @@
     target: str
     data: bytes
     deadline: int
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def time_left(text: str) -> int:
@@ -86,8 +94,24 @@
     return found[0] if found else ""
 
 
-def ask(head: RequestHead, body: bytes, classes: dict[str, int], waited: int, now: int) -> Ask:
-    """The request, ``waited`` nanoseconds after its head came.  Raises BadAsk."""
+def passed_on(headers: Headers) -> tuple[tuple[str, str], ...]:
+    """The headers that go to the engines as they came."""
+    dropped = _OF_ONE_CONNECTION | _WRITTEN_ANEW | set(headers.tokens("connection"))
+    return tuple((name.title(), value) for name, value in headers if name not in dropped)
+
+
+def _tenant(headers: Headers, tenants: dict[str, int]) -> int:
+    """The tenant's number; 0 where the deployment has none or the request names none."""
+    name = _one(headers, TENANT)
+    if not tenants or not name:
+        return 0
+    if name not in tenants:
+        raise BadAsk(f"{TENANT}: found {name[:40]!r}; allowed: {', '.join(tenants)}")
+    return tenants[name]
+
+
+def ask(head: RequestHead, body: bytes, classes: dict[str, int], waited: int, now: int, tenants: dict[str, int]) -> Ask:
+    """The request, ``waited`` nanoseconds after its head came; classes and tenants by name.  Raises BadAsk."""
     headers = head.headers
     request = _one(headers, ID)
     if not _ID.fullmatch(request):
@@ -105,9 +129,10 @@
         _one(headers, SESSION)[:200],
         max(left - MARGIN, 0),
         max(prompt, 1),
-        Body(head.target, body, now + left),
+        Body(head.target, body, now + left, passed_on(headers)),
         beginning if beginning not in (None, "0") else None,
         min(_count(told, "prefix_len", 0), prompt),
         _count(told, "max_out", 0),
+        tenant=_tenant(headers, tenants),
         repeated=_one(headers, REPEAT) == "1",
     )
--- a/stonetrack/edge/calls.py
+++ b/stonetrack/edge/calls.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from stonetrack.edge.hosts import Engine
-from stonetrack.engines.pool import Pool, abort
+from stonetrack.engines.pool import Pool
+from stonetrack.node.sockets import MachineShort, close, reset
 from stonetrack.wire import http1
 from stonetrack.wire.errors import ProtocolError
 
@@ -76,15 +77,17 @@
             try:
                 answer = exchange(sock, message, timeout)
             except OSError as error:
-                abort(sock)
+                reset(sock)
                 if not isinstance(error, TimeoutError):
                     self._pool.unanswered(age)
                 raise
+        except MachineShort:
+            raise  # no fault of the engine's
         except OSError:
             self.suspects[engine.name] = self._clock() + SUSPECT
             raise
         if answer.keep:
             self._pool.give(engine.host, engine.port, sock)
         else:
-            sock.close()
+            close(sock)
         return answer
--- a/stonetrack/edge/config.py
+++ b/stonetrack/edge/config.py
@@ -121,6 +121,23 @@
     )
 
 
+def another_deployment(running: Config, other: Config) -> str:
+    """Why a configuration is not one of the deployment that runs; empty where it is.
+
+    A router's tables, and what it learned, are of its classes, tenants and kinds of engines: a node takes others by
+    starting anew.
+    """
+    names = (
+        ("request_classes", [c.name for c in running.settings.classes], [c.name for c in other.settings.classes]),
+        ("tenants", [t.name for t in running.settings.tenants], [t.name for t in other.settings.tenants]),
+        ("kinds", list(running.kinds), list(other.kinds)),
+    )
+    for key, ours, theirs in names:
+        if theirs != ours:
+            return f"$.settings.{key}: found {theirs}; allowed while the node runs: {ours}"
+    return ""
+
+
 def _check_amounts(settings: api.Settings) -> None:
     """Raise ConfigError for an amount that no decision can be made with: the types allow it, the meaning does not."""
     amounts = [
--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -14,8 +14,9 @@
 from stonetrack.edge.leases import Leases, Settled
 from stonetrack.edge.probes import Probes
 from stonetrack.engines.attempt import SocketAttempt
-from stonetrack.engines.pool import Pool, abort, readable
+from stonetrack.engines.pool import Pool
 from stonetrack.node.ports import Ask, Attempt, Over
+from stonetrack.node.sockets import MachineShort, close, readable, reset
 from stonetrack.wire import http1, writer
 
 SERVICE = "origin.svc"
@@ -31,7 +32,7 @@
         ("Host", SERVICE),
         (ID.title(), ask.request),
         (LEFT.title(), f"{max(left // 1_000_000, 1)}m"),
-        ("Content-Type", "application/json"),
+        *body.headers,
     ]
     return writer.request("POST", body.target, headers, body.data)
 
@@ -75,19 +76,21 @@
             sock, age = self.pool.take(engine.host, engine.port, self._connect)
             settled = self.leases.settle(ask.request)
             if settled is not Settled.NOTHING and age is not None and readable(sock):
-                sock.close()  # it was closed while the release was waited for
+                close(sock)  # it was closed while the release was waited for
                 sock, age = self.pool.take(engine.host, engine.port, self._connect)
         except OSError as error:
             if self._trace is not None:
                 self._trace(f"trace connect {server}: {type(error).__name__} {error}")
-            return Over(api.Outcome.CONNECT_FAILED, f"engine {server}: {error}")
+            short = isinstance(error, MachineShort)  # no fault of the engine's
+            outcome = api.Outcome.NOT_SENT if short else api.Outcome.CONNECT_FAILED
+            return Over(outcome, f"engine {server}: {error}")
 
         def ended(outcome: api.Outcome) -> None:
             if settled is Settled.DROPPED and outcome in _NOTHING_DONE:
                 self.leases.release(ask.request)
 
         if not may_send(server):  # a list may have come while we connected
-            abort(sock)
+            reset(sock)
             ended(api.Outcome.NOT_SENT)
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
         if self._trace is not None:
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -12,7 +12,9 @@
 cause one that was dropped is decided anew where the attempt was turned away: then there may be no next release.
 
 A place that is still being asked for when its request is let go of is let go of once more after the answer, unless a
-new attempt has begun meanwhile.
+new attempt has begun meanwhile.  One that is answered only after an attempt has begun may have been taken behind that
+attempt: it is let go of when the request is over (:meth:`Leases.ended`), since a release during the attempt would take
+what the attempt needs.
 """
 
 from __future__ import annotations
@@ -29,11 +31,13 @@
 from stonetrack.edge.hosts import Engine
 from stonetrack.engines.releases import Heard, Item
 from stonetrack.engines.releasing import Releasing
+from stonetrack.node.threads import lasting
 from stonetrack.wire import writer
 
 PATH = "/kv/leases/"
 RELEASE_TIMEOUT, HOLD_TIMEOUT = 0.12, 0.5  # seconds; an engine that can't tell of a place takes 0.3
 SETTLE = 0.06  # seconds for which an attempt waits for an older release of its request
+_NOT_HELD = frozenset({404, 409})  # answers to a place that say for certain that none is held
 _MOST_PLACES = 64  # waiting to be asked for: more than that come too late
 
 
@@ -52,6 +56,7 @@
     sent: bool = False
     dropped: bool = False
     let_go: bool = False  # the request was let go of meanwhile
+    passed: bool = False  # an attempt has begun meanwhile
 
 
 def pick(engines: list[Engine], heard: Callable[[Engine], float], suspects: dict[str, int], now: int,
@@ -66,15 +71,23 @@
 class Leases:
     """Runs the calls on a few threads."""
 
-    def __init__(self, calls: Calls, clock: Callable[[], int], release_within: int, threads: int = 3) -> None:
+    def __init__(
+        self,
+        calls: Calls,
+        clock: Callable[[], int],
+        release_within: int,
+        threads: int = 3,
+        log: Callable[[str], None] = lambda text: None,
+    ) -> None:
         self._calls, self._clock = calls, clock
         self._engines: dict[str, Engine] = {}
         self._jobs: queue.Queue[tuple[str, Engine, _Hold, Callable[[bool], None]] | None] = queue.Queue(_MOST_PLACES)
         self._holding: dict[str, _Hold] = {}
+        self._late: set[str] = set()  # requests under way that a place may be held for, taken behind their attempt
         self._hold_lock = threading.Lock()
-        self._releasing = Releasing(clock, release_within, threads, self._release, self._over)
+        self._releasing = Releasing(clock, release_within, threads, self._release, self._over, log=log)
         self._open: dict[str, int] = {}  # releases that wait, by request; guarded as the book is
-        self._threads = [threading.Thread(target=self._places, name=f"places-{n}", daemon=True) for n in range(threads)]
+        self._threads = [lasting(f"places-{n}", self._places, log) for n in range(threads)]
 
     def start(self) -> None:
         """Start the threads."""
@@ -142,6 +155,8 @@
                 if self._holding.get(request) is asked:
                     del self._holding[request]
                 let_go = asked.let_go
+                if asked.passed and not let_go and status not in _NOT_HELD:
+                    self._late.add(request)
             if let_go:
                 self._add(request)
             elif status in (200, 409):
@@ -153,6 +168,7 @@
         A place not asked for yet is not any more.
         """
         self._drop_hold(request, let_go=False)
+        self._pass_hold(request)
         if request not in self._open:
             return Settled.NOTHING
         with self._releasing.changed:
@@ -170,6 +186,21 @@
                     asked.dropped = True
                     del self._holding[request]
 
+    def _pass_hold(self, request: str) -> None:
+        """An attempt begins: what is answered from here on may have been taken behind it."""
+        with self._hold_lock:
+            if (asked := self._holding.get(request)) is not None:
+                asked.passed = True
+
+    def ended(self, request: str) -> None:
+        """The request is over: let go of a place that was taken too late for it, now or after its answer."""
+        self._drop_hold(request, let_go=True)
+        with self._hold_lock:
+            late = request in self._late
+            self._late.discard(request)
+        if late:
+            self._add(request)
+
     # Releases.
 
     def release(self, request: str) -> None:
@@ -180,7 +211,10 @@
     def _add(self, request: str) -> None:
         with self._releasing.changed:
             if request not in self._open:
-                self._open[request] = self._releasing.book.add(Item(request, "", 0, None, self._clock()))
+                book = self._releasing.book
+                self._open[request] = book.add(Item(request, "", 0, None, self._clock()))
+                if len(self._open) > 2 * book.most:  # the book dropped releases that were never tried
+                    self._open = {name: number for name, number in self._open.items() if number in book}
                 self._releasing.changed.notify_all()
 
     def _over(self, number: int, item: Item) -> None:
--- a/stonetrack/edge/probes.py
+++ b/stonetrack/edge/probes.py
@@ -8,13 +8,14 @@
 
 import contextlib
 import queue
-import threading
 from collections.abc import Callable
 
 from stonetrack import api
 from stonetrack.edge.calls import Calls
 from stonetrack.edge.exchange import LOAD, ReadReport, report_pairs
 from stonetrack.edge.hosts import Engine
+from stonetrack.node.sockets import MachineShort
+from stonetrack.node.threads import lasting
 from stonetrack.wire import writer
 
 PATH = "/metrics/load"
@@ -26,12 +27,19 @@
 class Probes:
     """Runs the probes; ``probed`` gets each one's result."""
 
-    def __init__(self, calls: Calls, clock: Callable[[], int], read_report: ReadReport,
-                 probed: Callable[[api.ProbeEnded], None], threads: int = 3) -> None:  # fmt: skip
+    def __init__(
+        self,
+        calls: Calls,
+        clock: Callable[[], int],
+        read_report: ReadReport,
+        probed: Callable[[api.ProbeEnded], None],
+        threads: int = 3,
+        log: Callable[[str], None] = lambda text: None,
+    ) -> None:
         self._calls, self._clock, self._read_report, self._probed = calls, clock, read_report, probed
         self._engines: dict[str, Engine] = {}
         self._jobs: queue.Queue[tuple[str, int] | None] = queue.Queue(_MOST)
-        self._threads = [threading.Thread(target=self._run, name=f"probes-{n}", daemon=True) for n in range(threads)]
+        self._threads = [lasting(f"probes-{n}", self._run, log) for n in range(threads)]
 
     def start(self) -> None:
         """Start the threads."""
@@ -63,6 +71,8 @@
             report = None
             try:
                 answer = self._calls.call(engine, message, TIMEOUT)
+            except MachineShort:
+                outcome = api.Outcome.NOT_SENT
             except TimeoutError:
                 outcome = api.Outcome.TIMED_OUT
             except OSError:
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -21,10 +21,11 @@
 
 from stonetrack import drill
 from stonetrack.api import Action, Event, LoadReport
+from stonetrack.clocks import node_clock
 from stonetrack.edge import asks
 from stonetrack.edge.budget import divide
 from stonetrack.edge.calls import Calls
-from stonetrack.edge.config import Config, ConfigError, parse
+from stonetrack.edge.config import Config, ConfigError, another_deployment, parse
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.hosts import Hosts, HostsError
 from stonetrack.edge.ids import SeenIds
@@ -33,8 +34,9 @@
 from stonetrack.edge.sink import EdgeSink, whole
 from stonetrack.edge.watch import Watch
 from stonetrack.engines.pool import Pool
-from stonetrack.fronts.host import Connection, Host, Request, listen
-from stonetrack.node.core import Core, unix_clock
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import Host, listen
+from stonetrack.node.core import Core
 from stonetrack.node.drive import Bounds, Drive, Waker
 from stonetrack.settings.schema import Limits, Timing
 
@@ -59,7 +61,7 @@
 
     def __init__(self, config: Config, traced: bool = False) -> None:
         self.config, self._traced = config, traced
-        self.clock = unix_clock()
+        self.clock = node_clock()
         budget = divide(config.limits.sockets, config.limits.memory_mb)
         self._told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
         record = self._recorder() if traced else None
@@ -68,15 +70,17 @@
         self.pool = Pool(budget.kept, config.connection_idle / SECOND / 2, budget.kept)
         connect = max(settings.connect_timeout, 1) / SECOND
         self.calls = Calls(self.pool, self.clock, connect)
-        self.leases = Leases(self.calls, self.clock, settings.release_within)
-        self.probes = Probes(self.calls, self.clock, self._report, self.core.tell)
+        self.leases = Leases(self.calls, self.clock, settings.release_within, log=log)
+        self.probes = Probes(self.calls, self.clock, self._report, self.core.tell, log=log)
         self.engines = EdgeEngines(
             self.pool, self.leases, self.probes, self.clock, connect, self._report, log if traced else None
         )
         self.hosts = Hosts(config.kinds, config.zones, tuple(kind.role for kind in settings.kinds))
         self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
+        self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
         self.bounds = Bounds(SILENCE, STALL, 64 << 10)
         self.watch = Watch(config.discovery, lambda: self.hosts.rev, self._document, log)
+        self._passed_over: frozenset[str] = frozenset()  # what the last list held that can't be used, and was said
         self._last_call = 0  # monotonic ns from which on requests are refused; 0 for never
         self._ids = SeenIds()
         self._ids_lock = threading.Lock()
@@ -113,16 +117,16 @@
         self.engines.probe(server)
 
     def _document(self, data: bytes, fresh: bool, known: bool = False) -> None:
-        """Take a list: addresses first, since the router may send to what it is told of at once."""
-        try:
-            event = self.hosts.take(data, known, fresh)
-        except HostsError as error:
-            log(f"server list passed over: {error}")
-            return
+        """Take a list: addresses first, since the router may send to what it is told of at once.
+
+        Raises HostsError for one that can't be read: what it told has to be asked for again, from the version held."""
+        event = self.hosts.take(data, self.clock(), known, fresh)
         if event is None:
             return
         for each in self.hosts.passed_over:
-            log(f"server list: passed over {each}")
+            if each not in self._passed_over:
+                log(f"server list: passed over {each}")
+        self._passed_over = frozenset(self.hosts.passed_over)
         self.calls.forget(set(self.hosts.engines))
         self.engines.list_changed(dict(self.hosts.engines))
         self.core.tell(event)
@@ -133,7 +137,10 @@
         self.leases.start()
         self.probes.start()
         if self.config.known:
-            self._document(self.config.known, fresh=True, known=True)
+            try:
+                self._document(self.config.known, fresh=True, known=True)
+            except HostsError as error:
+                log(f"the list that the configuration brought is passed over: {error}")
         self.watch.start()
         self.host.start()
 
@@ -160,14 +167,17 @@
             return sink.respond(503, "this node is leaving: try again elsewhere")
         try:
             waited = time.monotonic_ns() - request.arrived
-            ask = asks.ask(head, request.body, self.classes, waited, self.clock())
+            ask = asks.ask(head, request.body, self.classes, waited, self.clock(), self.tenants)
         except asks.BadAsk as error:
             return sink.respond(error.status, str(error))
         with self._ids_lock:
             new = self._ids.take(ask.request, self.clock())
         if not new:
             return sink.respond(409, f"request {ask.request} has come before: every request needs an id of its own")
-        life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
+        try:
+            life = Drive(self.core, self.engines, self.bounds, ask, sink, waker).run()
+        finally:
+            self.leases.ended(ask.request)
         return sink.keep and not life.gone
 
     # Signals.
@@ -179,6 +189,9 @@
         except (OSError, ConfigError) as error:
             log(f"configuration refused, nothing changed: {error}")
             return
+        if other := another_deployment(self.config, config):
+            log(f"configuration refused, nothing changed: {path}: {other}")
+            return
         log(f"configuration read again: discovery at {config.discovery[0]}:{config.discovery[1]}")
         self.watch.move(config.discovery)
 
@@ -200,7 +213,7 @@
         self.host.leave()
         time.sleep(COMING)
         self.host.drain(sweep=True)
-        while self.core.open_requests or self.host.busy:
+        while self.core.open_requests or not self.host.seal():
             time.sleep(0.02)
         self.leases.wait(1.0)
 
--- a/stonetrack/edge/watch.py
+++ b/stonetrack/edge/watch.py
@@ -17,7 +17,8 @@
 from collections.abc import Callable
 
 from stonetrack.edge.documents import DocumentError, DocumentReader
-from stonetrack.engines.pool import connect
+from stonetrack.node.sockets import close, connect
+from stonetrack.node.threads import lasting
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
 
@@ -46,7 +47,7 @@
         self._stopping = False
         self._said = ""
         self._draw = random.Random()
-        self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
+        self._thread = lasting("watch", self._run, log)
 
     def start(self) -> None:
         """Start following."""
@@ -97,7 +98,7 @@
         sock = connect(host, port, CONNECT)
         with self._lock:
             if (host, port) != self._address or self._stopping:
-                sock.close()
+                close(sock)
                 return
             self._sock = sock
         try:
@@ -110,7 +111,7 @@
         finally:
             with self._lock:
                 self._sock = None
-            sock.close()
+            close(sock)
 
     def _read(self, sock: socket.socket) -> None:
         reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -8,12 +8,12 @@
 from typing import Protocol
 
 from stonetrack.api import Outcome
-from stonetrack.engines.pool import abort, readable
+from stonetrack.node import sockets
 from stonetrack.node.ports import AttemptEvent, Over
+from stonetrack.node.sockets import MachineShort
 
-_NOW = int(socket.MSG_DONTWAIT)
-_SEND = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
-_SETTLE = 0.005  # seconds waited for the last byte after the answer's end, so that the connection can be kept
+_SETTLE_MS = 5  # waited for the last byte after the answer's end, so that the connection can be kept
+_SHORT_MOST = 60  # calls in a row for which the machine was short, each tried some times, before an attempt is given up
 
 
 class Exchange(Protocol):
@@ -44,7 +44,7 @@
 class SocketAttempt:
     """See ``ports.Attempt``; used by one thread.  ``unsent`` is the outcome where the request did not go out whole."""
 
-    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_sock", "_unsent", "__weakref__")
+    __slots__ = ("_confirm", "_exchange", "_give_back", "_out", "_short", "_sock", "_unsent", "__weakref__")
 
     def __init__(
         self,
@@ -61,6 +61,7 @@
         self._confirm = confirm
         self._give_back = give_back
         self._unsent = unsent
+        self._short = 0  # calls in a row for which the machine was short
 
     def fileno(self) -> int:
         """The socket's descriptor, -1 where the attempt is over."""
@@ -78,11 +79,14 @@
             return []
         try:
             while self._out:
-                self._out = self._out[sock.send(self._out, _SEND) :]
+                self._out = self._out[sockets.send(sock, self._out) :]
+                self._short = 0
         except BlockingIOError:
             pass
+        except MachineShort as error:
+            return self._out_of_means(error)
         except OSError as error:
-            if readable(sock):  # it may have answered before it closed
+            if sockets.readable(sock):  # it may have answered before it closed
                 return self._read(sock)
             return self._broke(f"the connection broke while the request was sent: {error}")
         return []
@@ -96,11 +100,14 @@
 
     def _read(self, sock: socket.socket) -> list[AttemptEvent]:
         try:
-            data = sock.recv(65_536, _NOW)
+            data = sockets.receive(sock, 65_536)
         except BlockingIOError:
             return []
+        except MachineShort as error:
+            return self._out_of_means(error)
         except OSError as error:
             return self._broke(f"the connection broke: {error}")
+        self._short = 0
         if data:
             events = self._exchange.feed(data)
         elif self._out and not self._exchange.seen:
@@ -111,6 +118,15 @@
             self._settle(sock, bool(data))
         return events
 
+    def _out_of_means(self, error: MachineShort) -> list[AttemptEvent]:
+        """This machine can't send or read just now: no fault of the engine's, so it is tried again for a while."""
+        self._short += 1
+        if self._short < _SHORT_MOST:
+            return []
+        unsent = bool(self._out) and not self._exchange.seen
+        self._drop()
+        return [Over(Outcome.NOT_SENT if unsent else Outcome.CANCELLED, str(error))]
+
     def _broke(self, why: str) -> list[AttemptEvent]:
         """The connection is gone.  What the engine can't have taken whole, it can't have run (RFC 9112, 8)."""
         unsent = bool(self._out) and not self._exchange.seen
@@ -120,9 +136,10 @@
     def _settle(self, sock: socket.socket, alive: bool) -> None:
         """After the outcome: keep the connection where its answer is whole, else close it."""
         if alive and not self._out and self._exchange.reusable:
-            if not self._exchange.settled and readable(sock, _SETTLE):
+            if not self._exchange.settled:
                 with contextlib.suppress(OSError):
-                    self._exchange.feed(sock.recv(4_096, _NOW))
+                    if sockets.readable(sock, _SETTLE_MS):
+                        self._exchange.feed(sockets.receive(sock, 4_096))
             if self._exchange.settled and self._exchange.reusable:
                 self._sock = None
                 self._give_back(sock)
@@ -131,7 +148,7 @@
 
     def _drop(self) -> None:
         if self._sock is not None:
-            self._sock.close()
+            sockets.close(self._sock)
             self._sock = None
 
     def abort(self) -> None:
@@ -146,8 +163,8 @@
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_WR)
             waited = 0
-            while waited < 64 and readable(sock, self._confirm):
+            while waited < 64 and sockets.readable(sock, self._confirm * 1000.0):
                 waited += 1
-                if not sock.recv(65_536, _NOW):
+                if not sockets.receive(sock, 65_536):
                     break
-        abort(sock)
+        sockets.reset(sock)
--- a/stonetrack/engines/background_calls.py
+++ b/stonetrack/engines/background_calls.py
@@ -20,6 +20,7 @@
 from stonetrack.engines.listing import Engine
 from stonetrack.engines.releases import Heard, Item
 from stonetrack.engines.releasing import Releasing
+from stonetrack.node.threads import lasting
 from stonetrack.wire import writer
 
 
@@ -50,16 +51,17 @@
         most: int = 2_000,
         listed: Callable[[str], bool] = lambda server: True,
         seed: int = 0,
+        log: Callable[[str], None] = lambda text: None,
     ) -> None:
         self._find, self._clock, self._instance = find, clock, instance
         self._timeout, self._probed = timeout, probed  # see patience()
         self._jobs: queue.Queue[Callable[[], None] | None] = queue.Queue(most)
         self._listed = listed
-        self._releasing = Releasing(clock, release_within, threads, self._release, seed=seed)
+        self._releasing = Releasing(clock, release_within, threads, self._release, seed=seed, log=log)
         self._holding: dict[str, _Hold] = {}  # places asked for and not answered yet, by request
         self._hold_lock = threading.Lock()
         self.dropped = 0
-        self._threads = [threading.Thread(target=self._work, name=f"engines-{n}", daemon=True) for n in range(threads)]
+        self._threads = [lasting(f"engines-{n}", self._work, log) for n in range(threads)]
 
     def patience(self, seconds: float) -> None:
         """How long a call may take from here on."""
--- a/stonetrack/engines/calls.py
+++ b/stonetrack/engines/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from stonetrack import api
-from stonetrack.engines import pool
+from stonetrack.node import sockets
 from stonetrack.wire import http1
 from stonetrack.wire.errors import ProtocolError
 
@@ -32,7 +32,9 @@
     ``timeout`` bounds the time without a byte, ``connect`` (by default as much) that until there is a connection.
     """
     try:
-        sock = pool.connect(host, port, timeout if connect is None else connect)
+        sock = sockets.connect(host, port, timeout if connect is None else connect)
+    except sockets.MachineShort as error:
+        raise CallFailed(f"{host}:{port}: {error}", api.Outcome.NOT_SENT) from None
     except OSError as error:
         raise CallFailed(f"{host}:{port}: {error}", api.Outcome.CONNECT_FAILED) from None
     reader = http1.MessageReader(http1.Side.RESPONSES, limits)
@@ -61,4 +63,4 @@
     except OSError as error:
         raise CallFailed(f"{host}:{port}: {error}", api.Outcome.RESET) from None
     finally:
-        sock.close()
+        sockets.close(sock)
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -11,8 +11,9 @@
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.background_calls import BackgroundCalls
 from stonetrack.engines.listing import Engine
-from stonetrack.engines.pool import Pool, abort
+from stonetrack.engines.pool import Pool
 from stonetrack.node.ports import Ask, Attempt, Over
+from stonetrack.node.sockets import MachineShort, reset
 from stonetrack.settings import Node
 from stonetrack.wire import http1
 
@@ -93,10 +94,12 @@
         )  # fmt: skip
         try:
             sock, _ = self.pool.take(engine.host, engine.port, self._connect)
+        except MachineShort as error:
+            return Over(api.Outcome.NOT_SENT, f"engine {server}: {error}")
         except OSError as error:
             return Over(api.Outcome.CONNECT_FAILED, f"engine {server}: {error}")
         if not may_send(server):  # a list may have come while we connected
-            abort(sock)
+            reset(sock)
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
         attempt = SocketAttempt(
             sock,
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -7,50 +7,18 @@
 
 from __future__ import annotations
 
-import contextlib
-import select
 import socket
-import struct
 import threading
 import time
 from collections import deque
 
 from stonetrack.engines.keeping import Keeping
 from stonetrack.engines.reuse import Rest
+from stonetrack.node.sockets import MachineShort, close, connect, readable
 
-_ABORT = struct.pack("ii", 1, 0)
 LOOK = 0.5  # seconds from one look at all idle connections to the next
 
 
-def abort(sock: socket.socket) -> None:
-    """Close at once with a reset: nothing more is read, nothing sent."""
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ABORT)
-    sock.close()
-
-
-def readable(sock: socket.socket, timeout: float = 0.0) -> bool:
-    """Whether the socket has bytes, an end or an error within so many seconds."""
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
-    return bool(poller.poll(timeout * 1000.0))
-
-
-def connect(host: str, port: int, timeout: float) -> socket.socket:
-    """A connected, blocking socket.  Raises OSError."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.settimeout(max(timeout, 0.001))
-        sock.connect((host, port))
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(None)
-    except BaseException:
-        sock.close()
-        raise
-    return sock
-
-
 class Pool:
     """Idle connections by address; bounded for each address, in all (``most``) and in age.
 
@@ -78,7 +46,10 @@
             self.keeping.usual, self.keeping.most = idle, max(idle, longest)
 
     def take(self, host: str, port: int, timeout: float) -> tuple[socket.socket, float | None]:
-        """A connection and for how many seconds it was kept, None for a new one.  Raises OSError where none is had."""
+        """A connection and for how many seconds it was kept, None for a new one.
+
+        Raises OSError where none is had: MachineShort where that is not the engine's fault.
+        """
         while True:
             with self._lock:
                 now, kept = time.monotonic(), self._kept.get((host, port))
@@ -98,9 +69,29 @@
             if age <= usable and open_still:
                 self.reused += 1
                 return sock, age
-            sock.close()
-        self.opened += 1
-        return connect(host, port, timeout), None
+            close(sock)
+        return self._open(host, port, timeout), None
+
+    def _open(self, host: str, port: int, timeout: float) -> socket.socket:
+        """A new connection.  Where this machine is short of descriptors or ports, idle ones are given up for it."""
+        while True:
+            try:
+                sock = connect(host, port, timeout)
+            except MachineShort:
+                if not self._give_up_one():
+                    raise
+                continue
+            self.opened += 1
+            return sock
+
+    def _give_up_one(self) -> bool:
+        """Close the connection that has been idle for longest; whether there was one."""
+        with self._lock:
+            idle = [kept for kept in self._kept.values() if kept]
+            sock = self._oldest(min(idle, key=lambda kept: kept[0][1])) if idle else None
+        if sock is not None:
+            close(sock)
+        return sock is not None
 
     def give(self, host: str, port: int, sock: socket.socket) -> None:
         """Keep a connection whose last answer was read to its end."""
@@ -118,7 +109,7 @@
             if look:
                 self._looked = now
         for each in stale:
-            each.close()
+            close(each)
         if look:
             self.prune()
 
@@ -163,7 +154,7 @@
             if self.keeping.learns:
                 stale += [sock for address, kept in self._kept.items() for sock in self._look(address, kept, now)]
         for each in stale:
-            each.close()
+            close(each)
 
     def _look(
         self, address: tuple[str, int], kept: deque[tuple[socket.socket, float]], now: float
@@ -191,7 +182,7 @@
             stale = [sock for address in gone for sock, _ in self._kept.pop(address)]
             self._count -= len(stale)
         for each in stale:
-            each.close()
+            close(each)
 
     def close(self) -> None:
         """Close all."""
--- a/stonetrack/engines/releases.py
+++ b/stonetrack/engines/releases.py
@@ -76,6 +76,9 @@
     def __len__(self) -> int:
         return len(self._items)
 
+    def __contains__(self, number: int) -> bool:
+        return number in self._items
+
     @property
     def away(self) -> int:
         """Engines that could not be reached when last tried, and are owed something."""
--- a/stonetrack/engines/releasing.py
+++ b/stonetrack/engines/releasing.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from stonetrack.engines.releases import Heard, Item, ReleaseBook
+from stonetrack.node.threads import lasting
 
 SECOND = 1e9
 
@@ -25,12 +26,13 @@
         release: Callable[[Item], Heard],
         over: Callable[[int, Item], None] = lambda number, item: None,
         seed: int = 0,
+        log: Callable[[str], None] = lambda text: None,
     ) -> None:
-        self._clock, self._release, self._over = clock, release, over
+        self._clock, self._release, self._over, self._log = clock, release, over, log
         self.book = ReleaseBook(within, most_away=max(1, threads - 1), seed=seed)
         self.changed = threading.Condition(threading.Lock())  # guards the book; told of every change
         self._stopping = False
-        self._threads = [threading.Thread(target=self._run, name=f"releases-{n}", daemon=True) for n in range(threads)]
+        self._threads = [lasting(f"releases-{n}", self._run, log) for n in range(threads)]
 
     def start(self) -> None:
         """Start the threads."""
@@ -70,7 +72,11 @@
                     at = self.book.next_at()
                     self.changed.wait(None if at is None else max(0.001, (at - self._clock()) / SECOND))
             number, item = found
-            heard = self._release(item)
+            try:
+                heard = self._release(item)
+            except Exception as error:  # the release is owed all the same
+                self._log(f"release of {item.request}: {type(error).__name__}: {error}")
+                heard = Heard.AGAIN
             with self.changed:
                 if not self.book.told(number, heard, self._clock()):
                     self._over(number, item)
--- a/stonetrack/engines/sources.py
+++ b/stonetrack/engines/sources.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import contextlib
-import os
 import random
 import threading
 from collections import Counter
@@ -16,6 +15,7 @@
 from pathlib import Path
 
 from stonetrack import api
+from stonetrack.durable import save
 from stonetrack.engines.calls import CallFailed, exchange
 from stonetrack.engines.listing import Document, Engine, ListError, Listing, read
 from stonetrack.settings.schema import Source
@@ -30,16 +30,6 @@
 OVER = 5.0  # seconds that an answer may take over the poll's time
 
 
-def save(path: Path, data: bytes) -> None:
-    """Write a file whole or not at all."""
-    fresh = path.with_name(f"{path.name}.{os.getpid()}.new")
-    with open(fresh, "wb") as out:
-        out.write(data)
-        out.flush()
-        os.fsync(out.fileno())
-    os.replace(fresh, path)
-
-
 def stamp(path: Path) -> tuple[int, int, int]:
     """What changes when a file is written anew.  Raises OSError."""
     status = path.stat()
--- a/stonetrack/fleet/links.py
+++ b/stonetrack/fleet/links.py
@@ -26,8 +26,8 @@
 import msgspec
 
 from stonetrack.control.wire import Answer
-from stonetrack.engines.pool import abort
 from stonetrack.fleet.shape import Pipe, Policy
+from stonetrack.node.sockets import reset
 from stonetrack.standin.tap import Tap
 from stonetrack.wire import http1
 from stonetrack.wire.errors import ProtocolError
@@ -347,7 +347,7 @@
             except OSError:
                 far.close()
                 self._write(link, number, "refused")
-                abort(near)
+                reset(near)
                 continue
             self._carry(link, number, near, far)
 
@@ -464,7 +464,7 @@
             with contextlib.suppress(OSError, ValueError):
                 self._epoll.unregister(sock.fileno())
             if what != "close":
-                abort(sock)
+                reset(sock)
             else:
                 sock.close()
 
--- a/stonetrack/fleet/rig.py
+++ b/stonetrack/fleet/rig.py
@@ -27,9 +27,9 @@
 
 from stonetrack.control.calls import ControlError
 from stonetrack.control.calls import call as control
+from stonetrack.durable import save
 from stonetrack.engines import calls
 from stonetrack.engines.calls import CallFailed
-from stonetrack.engines.sources import save
 from stonetrack.fleet import judge
 from stonetrack.fleet.clients import Apart
 from stonetrack.fleet.faulted import faults
--- a/stonetrack/fronts/admission.py
+++ b/stonetrack/fronts/admission.py
@@ -7,8 +7,8 @@
 
 from stonetrack.api import Effect
 from stonetrack.fronts import auth, classify
+from stonetrack.fronts.connection import Request
 from stonetrack.fronts.errors import ApiError
-from stonetrack.fronts.host import Request
 from stonetrack.fronts.service import Record, Service
 from stonetrack.fronts.sinks import HttpSink
 from stonetrack.node import ports
@@ -115,12 +115,13 @@
         """Serve and record; whether the connection may be kept."""
         life = self.service.serve(ask, sink, waker)  # type: ignore[arg-type]
         now = time.monotonic_ns()
+        under: Node = ask.under or self.service.settings
         self.service.record(
             Record(
                 front,
                 ask.request,
-                ask.class_index,
-                ask.tenant,
+                under.classes[ask.class_index].name,
+                under.tenants[ask.tenant].name if under.tenants else "",
                 sink.status,
                 "gone" if life.gone else sink.ended,
                 now - arrived,
--- a/stonetrack/fronts/app.py
+++ b/stonetrack/fronts/app.py
@@ -6,8 +6,9 @@
 
 from stonetrack.fronts.admission import Admission
 from stonetrack.fronts.chat import Chat
+from stonetrack.fronts.connection import Connection, Request
 from stonetrack.fronts.errors import ApiError
-from stonetrack.fronts.host import Connection, Request, plain
+from stonetrack.fronts.host import plain
 from stonetrack.fronts.kserve import PREFIX, KServe
 from stonetrack.fronts.service import Service
 from stonetrack.node.drive import Waker
--- a/stonetrack/fronts/chat.py
+++ b/stonetrack/fronts/chat.py
@@ -15,8 +15,9 @@
 from stonetrack.fronts import jsonguard
 from stonetrack.fronts.admission import Admission
 from stonetrack.fronts.answers import Chunks, Whole
+from stonetrack.fronts.connection import Connection, Request
 from stonetrack.fronts.errors import ApiError
-from stonetrack.fronts.host import Connection, Request, plain
+from stonetrack.fronts.host import plain
 from stonetrack.fronts.sinks import EventSink, HttpSink, WholeSink
 from stonetrack.node import ports
 from stonetrack.node.drive import Waker
--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import itertools
 import os
 import queue
@@ -27,17 +26,19 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from stonetrack.fronts.connection import Connection, HostState, Request
+from stonetrack.node import sockets
 from stonetrack.node.drive import Waker
 from stonetrack.node.ports import ClientLost
+from stonetrack.node.system_errors import Call, Meaning, meaning
+from stonetrack.node.threads import lasting
 from stonetrack.settings.schema import Limits, Timing
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
 
-_NOW = int(socket.MSG_DONTWAIT)  # as plain numbers: combining the flags anew costs more than the call
-_SEND = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
 _BODY_TOTAL = 256 << 20  # bytes of bodies not yet whole, over all connections
+_READ = 65_536  # bytes
 _LINGER_MS = 2  # a worker waits so long for the next request before it parks the connection
 _WORKER_IDLE = 15.0  # seconds
 _LOOK_UP = struct.pack("ll", 0, 200_000)  # the acceptor looks up so often: seconds, microseconds
@@ -47,148 +48,9 @@
 _SILENT, _SLOW = 50_000_000, 500_000_000  # nanoseconds without a byte, or within a request, that count as nobody's
 _LOOKED_AT = 256  # oldest connections looked at each time
 _ROOM = 20  # times 5 ms that a new client waits for room
-_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
-
-@dataclass(slots=True)
-class Request:
-    """One whole request; ``arrived`` is the monotonic time in nanoseconds at which its head was there."""
-
-    head: http1.RequestHead
-    body: bytes
-    arrived: int
-
-
-class Connection:
-    """One client's connection."""
-
-    __slots__ = (
-        "_body",
-        "_head",
-        "_head_at",
-        "begun_at",
-        "corked",
-        "closed",
-        "parked_at",
-        "pending",
-        "reader",
-        "sock",
-        "held",
-        "host",
-        "lingers_until",
-        "served",
-    )
-
-    def __init__(self, sock: socket.socket, limits: http1.Limits, host: Host) -> None:
-        self.sock = sock
-        self.host = host
-        self.served = 0  # requests taken
-        self.corked = False
-        self.lingers_until = 0  # answered for the last time; what still comes is thrown away until then
-        self.reader = http1.MessageReader(http1.Side.REQUESTS, limits)
-        self.pending = bytearray()  # written by us, not yet taken by the socket
-        self.parked_at = self.begun_at = 0  # monotonic ns: since idle; since the first byte of a request
-        self.closed = False
-        self.held = 0  # bytes of a body not yet whole
-        self._head: http1.RequestHead | None = None
-        self._head_at = 0
-        self._body: list[bytes] = []
-
-    def fileno(self) -> int:
-        """The socket's descriptor, -1 once closed."""
-        return -1 if self.closed else self.sock.fileno()
-
-    def take(self, data: bytes) -> Request | None:
-        """Feed what came; a whole request if it completes one.  Raises ProtocolError."""
-        now = time.monotonic_ns()
-        if data and not self.begun_at:
-            self.begun_at = now
-        for event in self.reader.feed(data, messages=1):
-            if isinstance(event, http1.RequestHead):
-                self._head, self._head_at, self._body, self.held = event, now, [], 0
-                if event.headers.get("expect").lower() == "100-continue" and event.length != 0:
-                    self.write(_CONTINUE)
-            elif isinstance(event, http1.Data):
-                self._body.append(event.data)
-                self.held += len(event.data)
-            elif isinstance(event, http1.End) and self._head is not None:
-                request = Request(self._head, b"".join(self._body), self._head_at)
-                self._head, self._body, self.begun_at, self.held = None, [], 0, 0
-                self.served += 1
-                return request
-        return None
-
-    @property
-    def last(self) -> bool:
-        """Whether the instance is about to stop: answers say that the connection closes."""
-        return self.host.leaving or self.host.draining
-
-    @property
-    def in_body(self) -> bool:
-        """Whether a head has come and its body not yet."""
-        return self._head is not None
-
-    # Writing.  Nothing blocks but :meth:`drain`.
+_SWEPT = 4_096  # calls of accept at most when the listening socket is emptied; more than a backlog holds
 
-    def write(self, data: bytes) -> None:
-        """Send what the socket takes, keep the rest as pending.  Raises ClientLost.
-
-        While ``corked``, all is kept: several events that came together leave in one call.
-        """
-        if self.closed:
-            raise ClientLost("closed")
-        if not self.pending and not self.corked:
-            try:
-                sent = self.sock.send(data, _SEND)
-            except BlockingIOError:
-                sent = 0
-            except OSError as error:
-                raise ClientLost(str(error)) from None
-            if sent == len(data):
-                return
-            data = data[sent:]
-        self.pending += data
-
-    def flush(self) -> int:
-        """Send of the pending what the socket takes; bytes left.  Raises ClientLost."""
-        if self.closed:
-            raise ClientLost("closed")
-        try:
-            while self.pending:
-                sent = self.sock.send(self.pending, _SEND)
-                del self.pending[:sent]
-        except BlockingIOError:
-            pass
-        except OSError as error:
-            raise ClientLost(str(error)) from None
-        return len(self.pending)
-
-    def drain(self, stall: float) -> None:
-        """Wait until all pending is taken; gives up after so many seconds without progress.  Raises ClientLost."""
-        poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLOUT)
-        while self.flush():
-            if not poller.poll(stall * 1000.0):
-                raise ClientLost("the client takes nothing")
-
-    def close(self, hard: bool = False) -> None:
-        """Close; ``hard`` drops what is pending with a reset."""
-        if self.closed:
-            return
-        self.closed = True
-        with contextlib.suppress(OSError):
-            if hard:
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-            else:
-                # Bytes that were never read would turn the close into a reset and take our answer along.
-                self.sock.shutdown(socket.SHUT_WR)
-                for _ in range(16):
-                    if not self.sock.recv(65_536, _NOW):
-                        break
-        self.sock.close()
-
-
-Handler = Callable[["Connection", Request, Waker], bool]  # whether the connection may be kept
+Handler = Callable[[Connection, Request, Waker], bool]  # whether the connection may be kept
 
 
 class Host:
@@ -222,14 +84,15 @@
         self.connections = 0
         self.refused = 0
         self._held = 0  # bytes of bodies not yet whole
-        self.leaving = False  # accepts still, and says in each answer that the connection closes
-        self.draining = False
+        self.state = HostState()
+        self._moving = False  # the parking thread reads, or moves connections between its places
+        self._sealed = False  # nothing more is read
         self._told = False  # those that were idle when it began to leave
         self._wakers = 0  # with descriptors
         self._spare: int | None = None
         self._said = 0.0  # when the log was told of missing descriptors
-        self._accepted = threading.Thread(target=self._accept, name="accept", daemon=True)
-        self._parking = threading.Thread(target=self._park, name="park", daemon=True)
+        self._accepted = lasting("accept", self._accept, log)
+        self._parking = lasting("park", self._park, log)
         self._done = threading.Event()
 
     def start(self) -> None:
@@ -243,7 +106,7 @@
     def leave(self) -> None:
         """Serve on, and close each connection with its answer, idle ones now: clients go elsewhere, those that come
         meanwhile are served."""
-        self.leaving = True
+        self.state.leaving = True
         self._back.wake()
 
     def drain(self, sweep: bool = False) -> None:
@@ -252,25 +115,52 @@
         ``sweep`` takes what the kernel has accepted by then and closes the listening socket: for a host that has it
         alone.
         """
-        self.draining = True
+        self.state.draining = True
         if self._accepted.ident is not None:
             self._accepted.join(2.0)
         if sweep:
             with contextlib.suppress(OSError):
-                self.listener.setblocking(False)
-                while True:
-                    self._admit(self.listener.accept()[0])
+                self._sweep_listener()
             self.listener.close()
         self._back.wake()
 
+    def _sweep_listener(self) -> None:
+        """Take all that the kernel has accepted; short of descriptors, refuse it plainly."""
+        self.listener.setblocking(False)
+        for _ in range(_SWEPT):
+            try:
+                self._admit(sockets.accept(self.listener))
+            except InterruptedError:
+                continue
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if meaning(Call.ACCEPT, error) is Meaning.DEFECT:
+                    raise
+                if meaning(Call.ACCEPT, error) is Meaning.MACHINE:
+                    self._accept_spare(error)
+
     @property
     def busy(self) -> bool:
         """Whether a request is being read or served, or an answer's last bytes wait for their client."""
         with self._lock:
-            if self._free < self.workers or self._returning:
-                return True
+            return self._busy()
+
+    def _busy(self) -> bool:
+        """See :attr:`busy`; under the lock."""
+        if self._moving or self._free < self.workers or self._returning:
+            return True
         return any(each.begun_at or not each.served for each in list(self._parked.values()))
 
+    def seal(self) -> bool:
+        """Read nothing more, unless busy; whether that is so.
+
+        For the end of the process: what is read after the last look at ``busy`` would be lost.
+        """
+        with self._lock:
+            self._sealed = self._sealed or not self._busy()
+            return self._sealed
+
     def stop(self) -> None:
         """Close everything but the listening socket."""
         self.drain()
@@ -289,16 +179,15 @@
         The call blocks in the kernel, where those who wait on one socket are served in turn; waiting in epoll would
         wake the latest first, and one instance would take nearly all.  A time-out on the socket lets it look up.
         """
-        while not self.draining:
+        while not self.state.draining:
             try:
-                sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError):
-                continue
+                sock = sockets.accept(self.listener)
             except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self._accept_spare(error)
-                elif error.errno in (errno.EBADF, errno.EINVAL):
-                    return
+                match meaning(Call.ACCEPT, error):
+                    case Meaning.MACHINE:
+                        self._accept_spare(error)
+                    case Meaning.DEFECT if not self.state.draining:
+                        raise  # the listening socket is of no use any more: started again, and then the process ends
                 continue
             self._admit(sock)
 
@@ -311,13 +200,18 @@
         else:
             self._turn_away(sock, f"all {self.limits.connections} connections are taken")
             return
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if self.limits.socket_send_bytes:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
+        sockets.no_delay(sock)
+        if self.limits.socket_send_bytes:
+            with contextlib.suppress(OSError):
+                sockets.SYSTEM.option(sock, socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
+        try:
+            connection = Connection(sock, self._wire, self.state)
+        except MemoryError:
+            self._turn_away(sock, "out of memory")
+            return
         with self._lock:
             self.connections += 1
-        self._return(Connection(sock, self._wire, self))
+        self._return(connection)
 
     def _accept_spare(self, error: OSError) -> None:
         """Out of descriptors: give up the one in reserve to refuse a client plainly."""
@@ -328,8 +222,7 @@
             os.close(self._spare)
             self._spare = None
             with contextlib.suppress(OSError):
-                sock, _ = self.listener.accept()
-                self._turn_away(sock, "no descriptor is free")
+                self._turn_away(sockets.SYSTEM.accept(self.listener), "no descriptor is free")
         with contextlib.suppress(OSError):
             self._spare = os.open(os.devnull, os.O_RDONLY | os.O_CLOEXEC)
         time.sleep(0.01)
@@ -337,10 +230,10 @@
     def _turn_away(self, sock: socket.socket, why: str) -> None:
         self.refused += 1
         with contextlib.suppress(OSError):
-            sock.send(self._refuse(503, why), _SEND)
+            sockets.send(sock, self._refuse(503, why))
             sock.shutdown(socket.SHUT_WR)
-            sock.recv(65_536, _NOW)
-        sock.close()
+            sockets.receive(sock, _READ)
+        sockets.close(sock)
 
     # Parking.
 
@@ -350,43 +243,59 @@
 
     def _park(self) -> None:
         looked = 0.0
-        with self._epoll:
-            while not self._done.is_set():
-                for fd, _ in self._epoll.poll(0.25, 256):
-                    if fd == self._back.fd:
-                        self._back.clear()
-                    elif (connection := self._parked.get(fd)) is not None:
-                        self._readable(connection)
-                while self._returning:
-                    self._enter(self._returning.popleft())
-                if self.leaving and not self._told:
-                    self._told = True
-                    self._close_idle()
-                if self.connections >= _CROWDED * self.limits.connections:
-                    self._make_room()
-                if time.monotonic() - looked > 0.25:
-                    looked = time.monotonic()
-                    self._overdue()
-            for connection in list(self._parked.values()):
-                self._close(connection)
+        while not self._done.is_set():
+            ready = sockets.patiently(Call.POLL, lambda: self._epoll.poll(0.25, 256))
+            with self._lock:
+                if self._sealed:
+                    return
+                self._moving = True
+            for fd, _ in ready:
+                if fd == self._back.fd:
+                    self._back.clear()
+                elif (connection := self._parked.get(fd)) is not None:
+                    self._guarded(self._readable, connection)
+            while self._returning:
+                self._guarded(self._enter, self._returning.popleft())
+            if self.state.leaving and not self._told:
+                self._told = True
+                self._close_idle()
+            if self.connections >= _CROWDED * self.limits.connections:
+                self._make_room()
+            if time.monotonic() - looked > 0.25:
+                looked = time.monotonic()
+                self._overdue()
+            self._moving = False
+        for connection in list(self._parked.values()):
+            self._close(connection)
+        self._epoll.close()
+
+    def _guarded(self, step: Callable[[Connection], None], connection: Connection) -> None:
+        """One connection's step; where it fails, memory short among the causes, that client alone is told so."""
+        try:
+            step(connection)
+        except Exception as error:
+            self._log(f"a client's connection: {type(error).__name__}: {error}")
+            self._refuse_and_close(connection, 503, "this instance is short of means")
 
     def _enter(self, connection: Connection) -> None:
         connection.parked_at = time.monotonic_ns()
         fd = connection.fileno()
         self._parked[fd] = connection
         try:
-            self._epoll.register(fd, select.EPOLLIN | select.EPOLLRDHUP)
-        except OSError:
-            self._close(connection)
+            sockets.patiently(Call.POLL, lambda: self._epoll.register(fd, select.EPOLLIN | select.EPOLLRDHUP))
+        except OSError as error:
+            self._log(f"a client's connection can't be watched: {error}")
+            self._refuse_and_close(connection, 503, "this instance is short of means")
             return
-        if self.draining and connection.served and connection.reader.idle and not connection.lingers_until:
-            self._close(connection)
+        idle = connection.served and connection.reader.idle and not connection.lingers_until
+        if self.state.draining and idle:
+            self._close_if_idle(connection)
 
     def _close_idle(self) -> None:
         """Close what is parked between two requests; a request that has come and was not read yet is read first."""
         for connection in [c for c in self._parked.values() if c.served and not c.begun_at and not c.lingers_until]:
-            if readable(connection.sock):
-                self._readable(connection)
+            if sockets.readable(connection.sock):
+                self._guarded(self._readable, connection)
             elif self._parked.get(connection.fileno()) is connection:
                 self._close(connection)
 
@@ -405,10 +314,15 @@
         for connection in (*silent, *over, *slow, *idle):
             if self.connections < _CROWDED * self.limits.connections:
                 return
-            if not connection.lingers_until and readable(connection.sock):
-                self._readable(connection)
-            if not connection.closed and self._parked.get(connection.fileno()) is connection:
-                self._held -= connection.held
+            if not connection.lingers_until and sockets.readable(connection.sock):
+                self._guarded(self._readable, connection)
+            if connection.closed or self._parked.get(connection.fileno()) is not connection:
+                continue
+            if connection.begun_at:
+                self._refuse_and_close(connection, 408, "the request did not come in time")
+            elif connection.lingers_until:
+                self._close_answered(connection)
+            else:
                 self._close(connection)
 
     def _leave(self, connection: Connection) -> None:
@@ -416,44 +330,63 @@
             with contextlib.suppress(OSError):
                 self._epoll.unregister(connection.fileno())
 
-    def _close(self, connection: Connection, hard: bool = False) -> None:
+    def _end(self, connection: Connection, close: Callable[[], None]) -> None:
         self._leave(connection)
-        if not connection.closed:
-            connection.close(hard)
-            with self._lock:
-                self.connections -= 1
+        if connection.closed:
+            return
+        close()
+        connection.held = 0
+        self._count_body(connection)
+        with self._lock:
+            self.connections -= 1
+
+    def _close(self, connection: Connection) -> None:
+        self._end(connection, connection.close)
+
+    def _close_answered(self, connection: Connection) -> None:
+        self._end(connection, connection.close_answered)
+
+    def _reset(self, connection: Connection) -> None:
+        self._end(connection, connection.reset)
+
+    def _refuse_and_close(self, connection: Connection, status: int, why: str) -> None:
+        """Answer and close at once, where there is no room to wait for what the client still sends."""
+        with contextlib.suppress(ClientLost, MemoryError):
+            connection.write(self._refuse(status, why))
+        self._close_answered(connection)
+
+    def _count_body(self, connection: Connection) -> None:
+        """Bring the bytes held of bodies up to date."""
+        with self._lock:
+            self._held += connection.held - connection.counted
+            connection.counted = connection.held
 
     def _readable(self, connection: Connection) -> None:
         if connection.lingers_until:
             self._discard(connection)
             return
         try:
-            data = connection.sock.recv(65_536, _NOW)
-        except BlockingIOError:
-            return
+            data = sockets.receive(connection.sock, _READ)
+        except (BlockingIOError, sockets.MachineShort):
+            return  # it is still readable, and looked at again
         except OSError:
             data = b""
         if not data:
-            self._held -= connection.held
             self._close(connection)
             return
-        held = connection.held
         try:
             request = connection.take(data)
         except ProtocolError as error:
-            self._held -= held
             self._reject(connection, error.status, str(error))
             return
         except ClientLost:
-            self._held -= held
-            self._close(connection, hard=True)
+            self._reset(connection)
             return
-        self._held += connection.held - held
+        self._count_body(connection)
         if request is not None:
             self._leave(connection)
             self._hand_over(connection, request)
         elif self._held > _BODY_TOTAL and connection.held:
-            self._held -= connection.held
             self._reject(connection, 503, "too many request bodies are on their way")
 
     def _reject(self, connection: Connection, status: int, why: str) -> None:
@@ -463,11 +396,12 @@
         comes is thrown away for a while (RFC 9112, 9.6).
         """
         connection.held = 0
+        self._count_body(connection)
         try:
             connection.write(self._refuse(status, why))
             connection.sock.shutdown(socket.SHUT_WR)
         except (ClientLost, OSError):
-            self._close(connection, hard=True)
+            self._reset(connection)
             return
         connection.lingers_until = time.monotonic_ns() + _LINGER_CLOSE
         if self._parked.get(connection.fileno()) is not connection:
@@ -477,10 +411,10 @@
         """Throw away what a client still sends."""
         try:
             for _ in range(16):
-                if not connection.sock.recv(262_144, _NOW):
+                if not sockets.receive(connection.sock, 262_144):
                     self._close(connection)
                     return
-        except BlockingIOError:
+        except (BlockingIOError, sockets.MachineShort):
             pass
         except OSError:
             self._close(connection)
@@ -517,14 +451,18 @@
         for connection in list(self._parked.values()):
             if connection.lingers_until:
                 if now > connection.lingers_until:
-                    self._close(connection)
+                    self._close_answered(connection)
             elif connection.begun_at:
                 most = timing.body_ms if connection.in_body else timing.header_ms
                 if now - connection.begun_at > most * 1_000_000:
-                    self._held -= connection.held
                     self._reject(connection, 408, "the request did not come in time")
-            elif now - connection.parked_at > (_FRESH if self.draining else timing.idle_ms * 1_000_000):
-                self._close(connection)
+            elif now - connection.parked_at > (_FRESH if self.state.draining else timing.idle_ms * 1_000_000):
+                self._close_if_idle(connection)
+
+    def _close_if_idle(self, connection: Connection) -> None:
+        """Close between two requests; one that has come and was not read yet is read first."""
+        if not sockets.readable(connection.sock):
+            self._close(connection)
 
     # Working.
 
@@ -534,7 +472,7 @@
             self._wakers += own
         try:
             waker = Waker(own)
-        except OSError as error:
+        except (OSError, MemoryError) as error:
             self._log(f"out of descriptors: {error}")
             with self._lock:
                 self.workers -= 1
@@ -564,47 +502,55 @@
 
     def _serve(self, connection: Connection, request: Request, waker: Waker) -> None:
         """Run the request, and those that follow at once on the same connection."""
-        while True:
-            try:
-                keep = self._handle(connection, request, waker)
-                connection.drain(self.timing.client_stall_ms / 1000.0)
-            except ClientLost:
-                self._close(connection, hard=True)
-                return
-            except Exception as error:  # a defect: this client loses its connection, the instance goes on
-                self._log(f"{request.head.method} {request.head.path}: {type(error).__name__}: {error}")
-                self._close(connection, hard=True)
-                return
-            if not keep or connection.closed or self.draining:
-                self._close(connection)
-                return
-            try:
-                following = connection.take(b"")
-                if following is None and connection.reader.idle and readable(connection.sock, _LINGER_MS):
-                    data = connection.sock.recv(65_536, _NOW)
-                    if not data:
-                        self._close(connection)
-                        return
-                    following = connection.take(data)
-            except ProtocolError as error:
-                self._reject(connection, error.status, str(error))
-                return
-            except (OSError, ClientLost):
-                self._close(connection)
-                return
-            if following is None:
-                with self._lock:
-                    self._held += connection.held
-                self._return(connection)
-                return
-            request = following
-
+        following: Request | None = request
+        while following is not None and self._answer(connection, following, waker):
+            following = self._next(connection)
 
-def readable(sock: socket.socket, wait_ms: int = 0) -> bool:
-    """Whether bytes, an end or an error are there within so many milliseconds."""
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN)
-    return bool(poller.poll(wait_ms))
+    def _answer(self, connection: Connection, request: Request, waker: Waker) -> bool:
+        """Run one request; whether its connection goes on."""
+        try:
+            keep = self._handle(connection, request, waker)
+            connection.drain(self.timing.client_stall_ms / 1000.0)
+        except ClientLost:
+            self._reset(connection)
+            return False
+        except Exception as error:  # a defect, or memory short: this client alone is told so
+            self._log(f"{request.head.method} {request.head.path}: {type(error).__name__}: {error}")
+            if connection.answering:
+                self._reset(connection)
+            else:
+                short = isinstance(error, (MemoryError, sockets.MachineShort))
+                status = 503 if short else 500
+                self._refuse_and_close(connection, status, "this instance could not serve the request")
+            return False
+        if not keep or connection.closed:
+            self._close_answered(connection)
+            return False
+        return True
+
+    def _next(self, connection: Connection) -> Request | None:
+        """The request that follows on a connection; none where it is parked or closed."""
+        try:
+            following = connection.take(b"")
+            wait = 0 if self.state.draining else _LINGER_MS
+            if following is None and connection.reader.idle and sockets.readable(connection.sock, wait):
+                data = sockets.receive(connection.sock, _READ)
+                if not data:
+                    self._close(connection)
+                    return None
+                following = connection.take(data)
+        except ProtocolError as error:
+            self._reject(connection, error.status, str(error))
+            return None
+        except (BlockingIOError, sockets.MachineShort):
+            following = None
+        except (OSError, ClientLost):
+            self._close(connection)
+            return None
+        if following is None:
+            self._count_body(connection)
+            self._return(connection)
+        return following
 
 
 def listen(host: str, port: int, backlog: int) -> socket.socket:
--- a/stonetrack/fronts/service.py
+++ b/stonetrack/fronts/service.py
@@ -17,8 +17,8 @@
 
     front: str
     request: str
-    class_index: int
-    tenant: int
+    class_name: str  # of the settings that the request was read by
+    tenant_name: str
     status: int
     ended: str  # served, refused, failed, broken, rejected, gone
     took: int
--- a/stonetrack/fronts/sinks.py
+++ b/stonetrack/fronts/sinks.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from stonetrack.fronts import errors
-from stonetrack.fronts.host import Connection, Request, plain
+from stonetrack.fronts.connection import Connection, Request
+from stonetrack.fronts.host import plain
 from stonetrack.fronts.writing import ConnectionSink
 from stonetrack.node import ports
 from stonetrack.wire import sse, writer
--- a/stonetrack/fronts/writing.py
+++ b/stonetrack/fronts/writing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from stonetrack.fronts.host import Connection
+from stonetrack.fronts.connection import Connection
 
 
 class ConnectionSink:
--- a/stonetrack/lists/keeping.py
+++ b/stonetrack/lists/keeping.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from stonetrack.engines.sources import save
+from stonetrack.durable import save
 from stonetrack.lists.history import History, Line, LinesError
 from stonetrack.owning.fence import NOBODY, Token
 
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import heapq
-import os
 import threading
 import time
 from collections import Counter, deque
@@ -21,16 +20,9 @@
 
 from stonetrack import api
 from stonetrack.node.ports import Ask
+from stonetrack.node.threads import lasting
 
-
-def unix_clock() -> Callable[[], int]:
-    """A clock in nanoseconds that starts at Unix time and never steps: server lists give starts in Unix time.
-
-    Under the fleet's rig it may be set apart from the machine's.
-    """
-    offset = time.time_ns() - time.monotonic_ns() + int(os.environ.get("STONETRACK_RIG_CLOCK_MS", "0")) * 1_000_000
-    monotonic = time.monotonic_ns
-    return lambda: offset + monotonic()
+AGAIN = 100_000_000  # nanoseconds after which a timer fires again that failed
 
 
 class Decider(Protocol):
@@ -77,7 +69,7 @@
         self._closed: dict[str, int] = {}  # servers that the list told of as leaving: when
         self.events: Counter[str] = Counter()
         self.actions: Counter[str] = Counter()
-        self._timers = Timers(lambda token: self.tell(api.TimerFired(token)))
+        self._timers = Timers(lambda token: self.tell(api.TimerFired(token)), log)
 
     def start(self) -> None:
         """Start the timer thread."""
@@ -192,13 +184,13 @@
 class Timers:
     """One thread that calls back when timers are due; used for the router's few."""
 
-    def __init__(self, fire: Callable[[int], None]) -> None:
-        self._fire = fire
+    def __init__(self, fire: Callable[[int], None], log: Callable[[str], None]) -> None:
+        self._fire, self._log = fire, log
         self._heap: list[tuple[int, int, int]] = []
         self._count = 0
         self._changed = threading.Condition(threading.Lock())
         self._stopping = False
-        self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
+        self._thread = lasting("timers", self._run, log)
 
     def start(self) -> None:
         """Start the thread."""
@@ -231,4 +223,8 @@
                 if self._stopping:
                     return
                 _, _, token = heapq.heappop(self._heap)
-            self._fire(token)
+            try:
+                self._fire(token)
+            except Exception as error:  # a router that failed once still needs its timers
+                self._log(f"timer {token}: {type(error).__name__}: {error}; it fires again")
+                self.add(token, AGAIN)
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -15,7 +15,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from stonetrack.api import Action, PlaceAnswer
+from stonetrack.api import Action, Outcome, PlaceAnswer
+from stonetrack.node import sockets
 from stonetrack.node.core import Core
 from stonetrack.node.life import (
     Abort,
@@ -51,7 +52,8 @@
         if self.fd < 0:
             return
         self._woken = True
-        os.eventfd_write(self.fd, 1)
+        with contextlib.suppress(BlockingIOError):  # it is readable already
+            os.eventfd_write(self.fd, 1)
 
     def clear(self) -> None:
         """Make it unreadable."""
@@ -100,11 +102,26 @@
                 if life.over and not self.commands and (life.gone or not self.sink.pending):
                     return life
                 self._wait()
+        except Exception:
+            self._abandon()
+            raise
         finally:
             if self.attempt is not None:
                 self.attempt.abort()
             core.leave(ticket)
 
+    def _abandon(self) -> None:
+        """A defect ends the run: nothing of the request stays at an engine, nor in the router's books."""
+        with contextlib.suppress(Exception):
+            now = self.core.clock()
+            self._do(self.life.client_gone(now))
+            if self.life.stage is Stage.OUT:
+                self._take_back(Outcome.CANCELLED, "this node could not go on with the request", now)
+            self._commands()
+
+    def _take_back(self, outcome: Outcome, why: str, now: int) -> None:
+        self._do([Abort(), *self.life.attempt(Over(outcome, why), now)])
+
     def _commands(self) -> None:
         while self.commands or self.late:
             now = self.core.clock()
@@ -131,7 +148,7 @@
         # The descriptors stay the same through a stream; stay in here while nothing else changes.
         while True:
             now = self.core.clock()
-            ready = poller.poll(self._timeout(now))
+            ready = sockets.poll(poller, self._timeout(now))
             now = self.core.clock()
             woken = self.waker.fd < 0 and bool(self.commands)
             for fd, mask in ready:
@@ -178,6 +195,9 @@
 
     def _lost(self, now: int) -> None:
         self._do(self.life.client_gone(now))
+        if self.attempt is not None and self.attempt.writing:
+            # An attempt begins with its request's last byte: it would begin for nobody.
+            self._take_back(Outcome.NOT_SENT, "the client left", now)
 
     def _engine(self, now: int) -> None:
         attempt = self.attempt
@@ -265,12 +285,12 @@
 
     def _start(self, server: str, number: int, state: Any, place: bool) -> None:
         started = self.engines.start(self.life.ask, server, number, state, place, self._may_send)
+        if not isinstance(started, Over):
+            self.attempt = started
         if self._client_left():
             self._lost(self.core.clock())  # told first: else the router would try the next engine for nobody
         if isinstance(started, Over):
             self.late.append(started)
-        else:
-            self.attempt = started
 
     def _may_send(self, server: str) -> bool:
         """Whether an attempt may still begin: asked right before its first byte, since connecting takes time in which
@@ -284,7 +304,7 @@
             return True
         poller = select.poll()
         poller.register(client, select.POLLRDHUP)
-        return any(mask & _LEFT for _, mask in poller.poll(0))
+        return any(mask & _LEFT for _, mask in sockets.poll(poller, 0))
 
     def _hold(self, server: str) -> None:
         request, number, core = self.life.ask.request, self.life.number, self.core
--- a/stonetrack/register/embedded.py
+++ b/stonetrack/register/embedded.py
@@ -14,7 +14,7 @@
 
 import lmdb
 
-from stonetrack.register.ports import NONE, Entry, RegisterError, checked
+from stonetrack.register.ports import NONE, Entry, RegisterError, Unknown, checked
 
 _COUNT = b"\x00count"
 LOOK = 0.05  # seconds between two looks of who follows
@@ -44,15 +44,23 @@
         """See ``ports.Register``."""
         raw = checked(key, value)
         try:
-            with self._store.begin(write=True) as change:
-                if _entry(change.get(raw)).revision != revision:
-                    change.abort()
-                    return None
-                new = int.from_bytes(change.get(_COUNT) or b"", "big") + 1
-                change.put(_COUNT, new.to_bytes(8, "big"))
-                change.put(raw, new.to_bytes(8, "big") + value)
+            change = self._store.begin(write=True)
         except lmdb.Error as error:
             raise RegisterError(str(error)) from None
+        try:
+            if _entry(change.get(raw)).revision != revision:
+                change.abort()
+                return None
+            new = int.from_bytes(change.get(_COUNT) or b"", "big") + 1
+            change.put(_COUNT, new.to_bytes(8, "big"))
+            change.put(raw, new.to_bytes(8, "big") + value)
+        except lmdb.Error as error:
+            change.abort()
+            raise RegisterError(str(error)) from None
+        try:
+            change.commit()
+        except lmdb.Error as error:  # what the disk holds of it is not known: it may have been written
+            raise Unknown(str(error)) from None
         return new
 
     def keys(self, prefix: str) -> list[str]:
--- a/stonetrack/register/etcd.py
+++ b/stonetrack/register/etcd.py
@@ -20,8 +20,9 @@
 import msgspec
 
 from stonetrack import api
-from stonetrack.engines import calls, pool
+from stonetrack.engines import calls
 from stonetrack.engines.calls import CallFailed
+from stonetrack.node.sockets import connect
 from stonetrack.register.ports import NONE, Entry, RegisterError, Unknown, checked
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
@@ -186,7 +187,7 @@
         request = writer.request("POST", "/v3/watch", _headers(at), msgspec.json.encode(body))
         end = time.monotonic() + seconds
         try:
-            with pool.connect(*at, self._timeout) as sock:
+            with connect(*at, self._timeout) as sock:
                 sock.sendall(request)
                 reader, line = http1.MessageReader(http1.Side.RESPONSES, _LIMITS), bytearray()
                 while (left := end - time.monotonic()) > 0:
--- a/stonetrack/steward/captures.py
+++ b/stonetrack/steward/captures.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from stonetrack.capture.recorder import retain
-from stonetrack.engines.sources import save
+from stonetrack.durable import save
 from stonetrack.owning.fence import NOBODY, Fence, Token
 
 FILE = "owner.json"
--- /dev/null
+++ b/tests/test_two_customers.py
@@ -0,0 +1,186 @@
+"""Two customers' settings one after the other in one process: nothing of the first shows under the second."""
+
+from __future__ import annotations
+
+import json
+import re
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from stonetrack import api
+from stonetrack.daemon.places import Places
+from stonetrack.edge import asks
+from stonetrack.edge.config import parse as parse_edge
+from stonetrack.edge.serve import EdgeNode
+from stonetrack.logic import SECOND, Router
+from stonetrack.settings import parse
+from tests.bed import SETTINGS, Bed
+from tests.platform import ask, free_port, platform
+from tests.rig import Client, Rig, chat, raw_settings, rig, wait_for
+from tests.test_choices import jam
+
+FIRST: dict[str, Any] = {
+    "classes": [{"name": "aldo-talk", "first_token_ms": 2_000, "deadline_ms": 4_000, "worth": 9.0}],
+    "tenants": [{"name": "aldo-house"}],
+    "models": [{"name": "demo"}, {"name": "aldo-model"}],
+    "routing": {"max_attempts": 3},
+}
+SECOND_ONE: dict[str, Any] = {
+    "classes": [{"name": "second-talk", "first_token_ms": 1_500, "deadline_ms": 3_000, "effect": "unsafe"}],
+    "tenants": [{"name": "second-house"}],
+    "models": [{"name": "demo"}],
+    "routing": {"max_attempts": 2},
+}
+
+
+def shown(node: Rig) -> str:
+    """All that an instance tells of itself: metrics, health, what its log said since the change."""
+    return node.node.metrics()[0].decode() + json.dumps(node.node.health()[1])
+
+
+def served(node: Rig, count: int = 8) -> None:
+    client = Client(node.port)
+    for n in range(count):
+        assert client.call(chat(f"text {n}"))[0].status == 200
+    client.close()
+
+
+def test_a_reload_onto_another_customers_settings_shows_nothing_of_the_first() -> None:
+    with rig(1, 1, settings=FIRST) as node:
+        served(node)
+        assert "aldo-talk" in shown(node) and "aldo-house" in shown(node)
+        assert wait_for(lambda: sum(event == "request" for event, _ in node.log.lines) == 8)
+        node.log.lines.clear()
+        node.node.reload(parse(json.dumps(raw_settings(node.engines.list_url, **SECOND_ONE))))
+        router = node.node.core.router
+        assert isinstance(router, Router)
+        assert [c.name for c in router.settings.classes] == ["second-talk"]
+        assert [t.name for t in router.settings.tenants] == ["second-house"] and router.settings.max_attempts == 2
+        assert not any(stat.count for stat in router.latency.values()) and not router.held_back
+        assert wait_for(lambda: all(not s.took and not s.table.entries for s in router.servers.values()))
+        served(node)
+        assert "second-talk" in shown(node) and "aldo" not in shown(node)
+        client = Client(node.port)
+        assert client.call({**chat(), "model": "aldo-model"})[0].status == 404
+        client.close()
+        assert not re.search("aldo", json.dumps([f for e, f in node.log.lines if e == "request"]))
+
+
+def test_a_request_of_the_first_that_ends_under_the_second_counts_as_nobodys() -> None:
+    """It was counted and logged under the class that has its number now."""
+    with rig(1, 1, settings=FIRST, token_ms=30.0, answer_least=20, answer_most=20) as node:
+        client = Client(node.port)
+        client.ask(chat(stream=True))
+        assert client.sock.recv(1)
+        node.node.reload(parse(json.dumps(raw_settings(node.engines.list_url, **SECOND_ONE))))
+        while client.sock.recv(65_536)[-5:] != b"0\r\n\r\n":
+            pass
+        assert wait_for(lambda: any(event == "request" for event, _ in node.log.lines))
+        page = node.node.metrics()[0].decode()
+        assert 'class="other",ended="served"' in page and "aldo" not in page and "second-" not in page
+        client.close()
+
+
+def test_a_node_started_on_a_second_customers_settings_in_one_process_shows_nothing_of_the_first() -> None:
+    with rig(1, 1, settings=FIRST) as node:
+        served(node)
+    with rig(1, 1, settings=SECOND_ONE) as node:
+        served(node)
+        assert "second-talk" in shown(node) and "aldo" not in shown(node)
+
+
+def test_a_class_that_has_gone_weighs_nothing_for_those_that_stay() -> None:
+    """Its worth of 9 made the one that stayed look worth a ninth, and refused early."""
+    base = SETTINGS.classes[0]
+    dear, plain = replace(base, name="dear", worth=9.0), replace(base, name="plain")
+    places = Places(replace(SETTINGS, classes=(dear, plain)))
+    laid = places.laid_out(replace(SETTINGS, classes=(plain,)))
+    assert [(c.name, c.worth) for c in laid.classes] == [("dear", 0.0), ("plain", 1.0)]
+    assert not places.another_deployment(replace(SETTINGS, classes=(plain,)))
+    assert places.another_deployment(replace(SETTINGS, classes=(replace(base, name="other"),)))
+
+
+def test_classes_that_are_worth_nothing_are_served() -> None:
+    free = replace(SETTINGS, classes=(replace(SETTINGS.classes[0], worth=0.0),))
+    bed = Bed(free)
+    jam(bed)
+    bed.ask("q")  # its expected time is looked at
+
+
+def edge_config(world: Any, **changes: Any) -> bytes:
+    told = json.loads(world.config())
+    told["settings"] = {**told["settings"], **changes}
+    return json.dumps(told).encode()
+
+
+HOUSE = {"name": "second-house", "quota_rps": 5.0}
+OTHER = {
+    "request_classes": [
+        {"name": "second-talk", "aim_ns": SECOND, "hard_limit_ns": 3 * SECOND, "semantics": "side_effect"}
+    ],
+    "tenants": [HOUSE, {**HOUSE, "name": "third-house"}],
+}
+
+
+def test_a_platform_node_refuses_another_customers_configuration_whole(tmp_path: Any, capfd: Any) -> None:
+    """Its router's tables are of the classes that run: discovery is not moved either."""
+    with platform() as world, platform() as other:
+        path = tmp_path / "config.json"
+        path.write_bytes(world.config())
+        made = EdgeNode(parse_edge(path.read_bytes()))
+        made.start()
+        try:
+            path.write_bytes(edge_config(other, **OTHER))
+            made.reload(path)
+            said = capfd.readouterr().err
+            assert f"configuration refused, nothing changed: {path}: $.settings.request_classes" in said
+            assert "found ['second-talk']; allowed while the node runs: ['chat']" in said
+            client = Client(world.listen)
+            assert ask(client, "q0")[0].status == 200 and set(made.hosts.engines) == set(world.engines)
+            assert not other.discovery.asked
+            client.close()
+        finally:
+            made.stop()
+
+
+def test_a_second_platform_node_in_the_process_has_its_own_names_and_limits() -> None:
+    with platform() as world:
+        first = EdgeNode(parse_edge(world.config()))
+        told = edge_config(world, **OTHER).replace(f":{world.listen}".encode(), f":{free_port()}".encode())
+        second = EdgeNode(parse_edge(told))
+        try:
+            assert first.classes == {"chat": 0} and second.classes == {"second-talk": 0}
+            assert first.tenants == {} and second.tenants == {"second-house": 0, "third-house": 1}
+            router = second.core.router
+            assert isinstance(router, Router) and router.settings.classes[0].effect is api.Effect.UNSAFE
+            assert router.settings.tenants[0].quota_per_second == 5.0
+        finally:
+            first.host.listener.close()
+            second.host.listener.close()
+
+
+@pytest.mark.parametrize(("name", "number"), [("second-house", 0), ("third-house", 1), (None, 0)])
+def test_a_requests_tenant_is_read_where_the_deployment_has_tenants(name: str | None, number: int) -> None:
+    from tests.test_edge import head
+
+    tenants = {"second-house": 0, "third-house": 1}
+    made = asks.ask(head(X_Account=name), b"{}", {"plan": 0}, 0, 0, tenants)
+    assert made.tenant == number
+    assert asks.ask(head(X_Account="nobody"), b"{}", {"plan": 0}, 0, 0, {}).tenant == 0
+    with pytest.raises(asks.BadAsk, match="x-account: found 'nobody'; allowed: second-house, third-house"):
+        asks.ask(head(X_Account="nobody"), b"{}", {"plan": 0}, 0, 0, tenants)
+
+
+def test_headers_that_are_the_clients_and_the_engines_pass_on() -> None:
+    """Seen on a deployment with keyed classes: the idempotency key did not arrive, and the engine refused the request
+    as not the client's."""
+    from tests.test_edge import head
+
+    made = asks.ask(
+        head(Idempotency_Key="k-1", Connection="X-Hop", X_Hop="1", Expect="100-continue", TE="trailers"),
+        b"{}", {"plan": 0}, 0, 0, {})  # fmt: skip
+    passed = dict(made.body.headers)
+    assert passed["Idempotency-Key"] == "k-1" and passed["X-Service-Class"] == "plan"
+    assert not {"Connection", "X-Hop", "Expect", "Te", "X-Time-Left", "X-Correlation-Id"} & set(passed)
