--- a/stonetrack/fronts/host.py
+++ b/stonetrack/fronts/host.py
@@ -48,7 +48,7 @@
 _SILENT, _SLOW = 50_000_000, 500_000_000  # nanoseconds without a byte, or within a request, that count as nobody's
 _LOOKED_AT = 256  # oldest connections looked at each time
 _ROOM = 20  # times 5 ms that a new client waits for room
-_SWEPT = 4_096  # calls of accept at most when the listening socket is emptied; more than a backlog holds
+_SWEEP = 1.0  # seconds in which the listening socket is emptied at a drain
 
 Handler = Callable[[Connection, Request, Waker], bool]  # whether the connection may be kept
 
@@ -125,9 +125,13 @@
         self._back.wake()
 
     def _sweep_listener(self) -> None:
-        """Take all that the kernel has accepted; short of descriptors, refuse it plainly."""
+        """Take all that the kernel has accepted; short of descriptors, refuse it plainly.
+
+        Short of descriptors, accept(2) does not say whether anybody waits: so it is asked for a bounded time.
+        """
         self.listener.setblocking(False)
-        for _ in range(_SWEPT):
+        end = time.monotonic() + _SWEEP
+        while time.monotonic() < end:
             try:
                 self._admit(sockets.accept(self.listener))
             except InterruptedError:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -204,6 +204,20 @@
     made.host.stop()
 
 
+def test_a_host_without_a_descriptor_ends_its_sweep_in_time() -> None:
+    class Full(System):
+        def accept(self, listener: socket.socket) -> socket.socket:
+            raise OSError(errno.EMFILE, "Too many open files")
+
+    made = Bare()
+    made.host._parking.start()
+    began = time.monotonic()
+    with system(Full()):
+        made.host.drain(sweep=True)
+    assert time.monotonic() - began < 1.5
+    made.host.stop()
+
+
 def test_a_client_that_can_not_be_watched_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
     with bare() as made:
         real = made.host._epoll
