The test of passed-on headers looks at the bytes of an attempt

Need: it looked at the parsed request alone, so that dropping the headers from the attempt passed it. Change: request_bytes is checked too. Result: fails with the headers left out.

--- a/tests/test_two_customers.py
+++ b/tests/test_two_customers.py
@@ -13,6 +13,7 @@
 from stonetrack.daemon.places import Places
 from stonetrack.edge import asks
 from stonetrack.edge.config import parse as parse_edge
+from stonetrack.edge.engines import request_bytes
 from stonetrack.edge.serve import EdgeNode
 from stonetrack.logic import SECOND, Router
 from stonetrack.settings import parse
@@ -184,3 +185,5 @@
     passed = dict(made.body.headers)
     assert passed["Idempotency-Key"] == "k-1" and passed["X-Service-Class"] == "plan"
     assert not {"Connection", "X-Hop", "Expect", "Te", "X-Time-Left", "X-Correlation-Id"} & set(passed)
+    sent = request_bytes(made, 2 * SECOND)
+    assert b"\r\nIdempotency-Key: k-1\r\n" in sent and sent.count(b"X-Time-Left: 2000m\r\n") == 1
