--- a/tests/platform.py
+++ b/tests/platform.py
@@ -286,6 +286,18 @@
         made.stop()
 
 
+def at_rest(made: EdgeNode) -> bool:
+    """Whether nothing is counted as out, waiting or held."""
+    router = made.core.router
+    servers = router.servers.values()  # type: ignore[attr-defined]
+    return not (
+        router.requests  # type: ignore[attr-defined]
+        or any(s.waiting or s.streams or s.states or s.work_out for s in servers)
+        or made.core.open_requests
+        or made.leases.open
+    )
+
+
 def up(port: int) -> bool:
     """Whether a node answers there that it serves."""
     try:
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -22,28 +22,16 @@
 from stonetrack.edge.engines import EdgeEngines
 from stonetrack.edge.leases import Leases, Settled
 from stonetrack.edge.probes import Probes
-from stonetrack.edge.serve import COMING, EdgeNode
+from stonetrack.edge.serve import COMING
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.pool import Pool
 from stonetrack.logic import MS, SECOND
 from stonetrack.node.ports import Ask, Over
 from stonetrack.wire import writer
-from tests.platform import CHAT, REPORT, Platform, ask, headers, node, platform, program
+from tests.platform import CHAT, REPORT, Platform, ask, at_rest, headers, node, platform, program
 from tests.rig import Client, wait_for
 
 
-def at_rest(made: EdgeNode) -> bool:
-    """Whether nothing is counted as out, waiting or held."""
-    router = made.core.router
-    servers = router.servers.values()  # type: ignore[attr-defined]
-    return not (
-        router.requests  # type: ignore[attr-defined]
-        or any(s.waiting or s.streams or s.states or s.work_out for s in servers)
-        or made.core.open_requests
-        or made.leases.open
-    )
-
-
 def test_a_request_is_read_and_written_and_nothing_stays_held() -> None:
     with platform() as world, node(world) as made:
         client = Client(world.listen)
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -18,7 +18,7 @@
 from stonetrack.node.sockets import MachineShort, System, patiently
 from stonetrack.node.system_errors import Call, Meaning, meaning
 from stonetrack.wire.errors import ProtocolError
-from tests.platform import Platform, ask, node, platform
+from tests.platform import Platform, ask, at_rest, node, platform
 from tests.rig import Client, wait_for
 
 SHORT = 0  # in place of an error: one byte alone is sent or read
@@ -123,17 +123,6 @@
         sockets.SYSTEM = real
 
 
-def at_rest(made: EdgeNode) -> bool:
-    router = made.core.router
-    servers = router.servers.values()  # type: ignore[attr-defined]
-    return not (
-        router.requests  # type: ignore[attr-defined]
-        or any(s.waiting or s.streams or s.states or s.work_out for s in servers)
-        or made.core.open_requests
-        or made.leases.open
-    )
-
-
 def one(world: Platform, request: str) -> int:
     """A client's request on a connection of its own; the status, 0 for one that ended without a whole answer."""
     try:
