Giving up idle connections ends with the time for connecting

Seen on reading the change again: Pool._open gave up idle connections one after the other, each try with a time of its own, so that a lost route, which none of them ends, could hold a request's thread for seconds past its client's deadline. Change: one end for all tries. Result: the new test fails without it; tests of pool and shortages pass.

--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -73,12 +73,13 @@
         return self._open(host, port, timeout), None
 
     def _open(self, host: str, port: int, timeout: float) -> socket.socket:
-        """A new connection.  Where this machine is short of descriptors or ports, idle ones are given up for it."""
+        """A new connection, within so many seconds.  Where this machine is short, idle ones are given up for it."""
+        end = time.monotonic() + timeout
         while True:
             try:
-                sock = connect(host, port, timeout)
+                sock = connect(host, port, end - time.monotonic())
             except MachineShort:
-                if not self._give_up_one():
+                if time.monotonic() >= end or not self._give_up_one():
                     raise
                 continue
             self.opened += 1
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import TypeVar
 
 import pytest
 
@@ -36,6 +37,7 @@
     Call.CLOSE: (errno.EINTR, errno.EIO),
 }  # fmt: skip
 CASES = [(call, code) for call, codes in ERRORS.items() for code in codes]
+FaultyT = TypeVar("FaultyT", bound=System)
 LONGEST = 60  # calls of one kind in one request's life, at most
 
 
@@ -114,7 +116,7 @@
 
 
 @contextmanager
-def faults(faulty: Faulty) -> Iterator[Faulty]:
+def faults(faulty: FaultyT) -> Iterator[FaultyT]:
     real = sockets.SYSTEM
     sockets.SYSTEM = faulty
     try:
@@ -262,3 +264,25 @@
     finally:
         sockets.SYSTEM = real
         listener.close()
+
+
+def test_a_shortage_that_idle_connections_do_not_end_is_told_within_the_time_for_connecting() -> None:
+    """All idle connections were given up one after the other, each with its tries, however long that took."""
+    from stonetrack.engines.pool import Pool
+    from stonetrack.fronts.host import listen
+
+    class NoRoute(System):
+        def connect(self, sock: socket.socket, address: tuple[str, int]) -> None:
+            raise OSError(errno.ENETUNREACH, "Network is unreachable")
+
+    listener = listen("127.0.0.1", 0, 64)
+    port = listener.getsockname()[1]
+    pool = Pool(40, 10.0)
+    for sock in [pool.take("127.0.0.1", port, 1.0)[0] for _ in range(40)]:
+        pool.give("127.0.0.1", port, sock)
+    began = time.monotonic()
+    with faults(NoRoute()), pytest.raises(MachineShort):
+        pool._open("127.0.0.1", port, 0.05)
+    assert time.monotonic() - began < 0.3 and pool.kept("127.0.0.1", port) > 20
+    pool.close()
+    listener.close()
