The build's tests fill their index from what the build requires

The index now holds all three and the build loads all three. Measured: tests/test_deploy.py passes whole.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -27,5 +27,6 @@
         fail "the packages in requirements.txt could not be installed: no package index reached, or none that has them"
     printf '%s\n' "$built" > "$stamp" || fail "$stamp: can't be written"
 fi
-.venv/bin/python -c 'import click, msgspec' || fail "click and msgspec are installed and can't be loaded"
+.venv/bin/python -c 'import click, msgspec, prometheus_client' ||
+    fail "click, msgspec and prometheus-client are installed and can't be loaded"
 .venv/bin/python -m compileall -q stonetrack || fail "stonetrack can't be compiled"
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -133,6 +133,15 @@
         made.writestr(f"{info}/RECORD", f"{name}.py,,\n{info}/METADATA,,\n{info}/WHEEL,,\n{info}/RECORD,,\n")
 
 
+REQUIRED = (("click", "8.1.99"), ("msgspec", "0.19.99"), ("prometheus_client", "0.20.99"))  # of requirements.txt
+
+
+def fill_index(folder: Path) -> None:
+    """All that `build` installs, and nothing else."""
+    for name, version in REQUIRED:
+        wheel(folder, name, version)
+
+
 @pytest.fixture
 def checkout(tmp_path: Path) -> Path:
     """What `build` needs of the repository, and an index without a network beside it."""
@@ -156,8 +165,7 @@
     done = build(checkout)
     assert done.returncode == 1 and "build: the packages in requirements.txt could not be installed" in done.stderr
     assert not (checkout / ".venv" / "requirements.installed").exists()
-    wheel(checkout.parent / "index", "click", "8.1.99")
-    wheel(checkout.parent / "index", "msgspec", "0.19.99")
+    fill_index(checkout.parent / "index")
     done = build(checkout)
     assert done.returncode == 0, done.stderr
     shutil.rmtree(checkout.parent / "index")  # what is built needs no registry again
@@ -166,8 +174,7 @@
 
 @pytest.mark.parametrize("left", ["a dangling interpreter", "no pip", "an older stamp"])
 def test_build_mends_an_older_or_half_made_environment(checkout: Path, left: str) -> None:
-    wheel(checkout.parent / "index", "click", "8.1.99")
-    wheel(checkout.parent / "index", "msgspec", "0.19.99")
+    fill_index(checkout.parent / "index")
     venv = checkout / ".venv"
     if left == "an older stamp":
         subprocess.run([sys.executable, "-m", "venv", str(venv)], check=True)
@@ -179,4 +186,4 @@
         (venv / "bin" / "python").symlink_to("/nowhere/python3.9")
     done = build(checkout)
     assert done.returncode == 0, done.stderr
-    subprocess.run([".venv/bin/python", "-c", "import click, msgspec"], cwd=checkout, check=True)
+    subprocess.run([".venv/bin/python", "-c", "import click, msgspec, prometheus_client"], cwd=checkout, check=True)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -80,7 +80,8 @@
 COMMON = {"api", "clocks", "durable", "__version__"}  # what every package may import
 IO = {"socket", "select", "threading", "time", "os", "subprocess", "queue", "signal"}
 PURE = [
-    "wire/*.py", "node/invariants.py", "node/transitions.py", "node/life.py", "node/ports.py", "node/system_errors.py", "engines/protocol.py", "engines/load.py",
+    "wire/*.py", "node/invariants.py", "node/transitions.py",
+    "node/life.py", "node/ports.py", "node/system_errors.py", "engines/protocol.py", "engines/load.py",
     "engines/listing.py", "engines/releases.py", "engines/reuse.py", "engines/starts.py", "starting/*.py",
     "lists/history.py", "lists/turns.py", "lists/settings.py", "owning/*.py", "audit/filter.py",
     "audit/account.py", "audit/chain.py", "audit/questions.py", "audit/collecting.py", "audit/settings.py",
