--- a/stonetrack/fleet/links.py
+++ b/stonetrack/fleet/links.py
@@ -36,6 +36,7 @@
 _LIMITS = http1.Limits(body=64 << 20)
 _IN = select.EPOLLIN | select.EPOLLRDHUP
 _INSTANCE = re.compile(rb"(?im)^x-stonetrack-instance:[ \t]*([^\r\n]*?)-[0-9]+[ \t]*\r?$")  # NAME-NUMBER
+_FILLERS = 4  # connections that fill a backlog of none (Linux takes one more than it is told)
 _BEAT = 20_000_000  # nanoseconds from one look at the clock to the next, at the least
 
 
@@ -125,6 +126,7 @@
     open: set[_Carried] = field(default_factory=set)
     shared: bool = False  # several sources connect to it; each connection's first head names its own
     pairs: dict[str, Policy] = field(default_factory=dict)  # of those sources for which it differs
+    fillers: list[socket.socket] = field(default_factory=list)  # what fills its backlog while it is unreachable
 
     def policy_of(self, source: str) -> Policy:
         """What it does to a connection of this source."""
@@ -143,6 +145,7 @@
                  note: Callable[..., None]) -> None:  # fmt: skip
         self.number, self.link, self.near, self.far = number, link, near, far
         self.source = "" if link.shared else link.source
+        self.silenced = False  # nothing passes, whatever its link does to others
         self.heard = bytearray()  # while the source is not known
         self.pipes = {True: Pipe(link.policy, True, draw), False: Pipe(link.policy, False, draw)}
         self.reading = Reading(note, link.to)
@@ -175,8 +178,15 @@
 class Links:
     """All links; methods may be called from any thread and are carried out in the links' own."""
 
-    def __init__(self, tap: Tap, seed: int, seen: Callable[[dict[str, Any]], None] | None = None) -> None:
+    def __init__(
+        self,
+        tap: Tap,
+        seed: int,
+        seen: Callable[[dict[str, Any]], None] | None = None,
+        begun: re.Pattern[bytes] | None = None,
+    ) -> None:
         self._tap, self._draw, self._seen = tap, random.Random(seed), seen
+        self._begun = begun  # finds a request's id in its first bytes; None: beginnings are not noted
         self._epoll = select.epoll()
         self._wake, self._waker = socket.socketpair()
         self._wake.setblocking(False)
@@ -260,6 +270,50 @@
 
         self.do(carry)
 
+    def silence_open(self, link: Link) -> None:
+        """Nothing passes any more on the connections that a link carries now; new ones are as before."""
+
+        def carry() -> None:
+            silent = replace(link.policy, cut_there=True, cut_back=True)
+            for each in link.open:
+                each.follow(silent)
+                each.silenced = True
+
+        self.do(carry)
+
+    def speak_again(self, link: Link) -> None:
+        """What :meth:`silence_open` silenced passes again, with all that waited."""
+
+        def carry() -> None:
+            for each in [e for e in link.open if e.silenced]:
+                each.silenced = False
+                each.follow(link.policy)
+                self._move(each, time.monotonic_ns())
+
+        self.do(carry)
+
+    def unreachable(self, link: Link, on: bool) -> None:
+        """New connections never come up: nobody accepts, and the backlog is full, so the kernel drops what comes."""
+
+        def carry() -> None:
+            for filler in link.fillers:
+                filler.close()
+            link.fillers.clear()
+            self._unlisten(link)
+            if not on:
+                self._listen(link)
+                return
+            full = _bound(link.port)
+            full.listen(0)
+            link.fillers.append(full)
+            for _ in range(_FILLERS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(("127.0.0.1", link.port))
+                link.fillers.append(filler)
+
+        self.do(carry)
+
     def reset(self, link: Link, source: str = "") -> None:
         """Reset all connections that a link carries now, or those of one source of a shared one."""
 
@@ -307,8 +361,8 @@
             for each in list(link.open):
                 self._drop(each, "close")
             self._unlisten(link)
-            if link.holder is not None:
-                link.holder.close()
+            for sock in (*link.fillers, *([link.holder] if link.holder is not None else [])):
+                sock.close()
         self._tap.flush()
         for sock in (self._wake, self._waker):
             sock.close()
@@ -364,7 +418,7 @@
         self._by_fd[near.fileno()], self._by_fd[far.fileno()] = (carried, True), (carried, False)
         self._epoll.register(near.fileno(), _IN)
         self._epoll.register(far.fileno(), _IN)
-        note("open")
+        note("open", port=far.getsockname()[1])
 
     def _write(self, link: Link, number: int, what: str, source: str = "", **more: Any) -> None:
         record = {"from": source or link.source, "to": link.to, "conn": number, **more}
@@ -383,6 +437,8 @@
             except BlockingIOError:
                 data = None
             except OSError:
+                if there:
+                    self._said(each, b"")
                 self._lost(each, there)
                 return
             if data is not None:
@@ -394,8 +450,18 @@
                         return
                 each.pipes[there].push(now, data)
                 each.ends[there] = not data
+                if there:
+                    self._said(each, data)
         self._move(each, now)
 
+    def _said(self, each: _Carried, data: bytes) -> None:
+        """Note what who connects has just done, whether or not it passes on: a request begun, or its end (``left``)."""
+        if not data:
+            self._write(each.link, each.number, "left", each.source)
+        elif self._begun is not None and (found := self._begun.search(data)) is not None:
+            request = found.group(1).decode("latin-1")
+            self._write(each.link, each.number, "begun", each.source, id=request)
+
     def _lost(self, each: _Carried, there: bool) -> None:
         """An end was reset: the other hears of it, unless the link is cut that way, when it hears nothing yet."""
         if each.pipes[there].policy.cut(there):
--- a/stonetrack/fleet/load.py
+++ b/stonetrack/fleet/load.py
@@ -90,6 +90,7 @@
     tokens: int = 0
     why: str = ""
     reused: bool = False  # on a connection used before
+    event_late: int = 0  # the longest time from an engine's writing of an event to its coming here, where told
     slept: int = 0  # of a slow client: what it saw at the end may have been there for so long
 
 
@@ -208,7 +209,7 @@
             seen.ended, seen.why = "refused connection", str(error)
             seen.sent = seen.end = time.monotonic_ns()
             return seen
-        request, stream = self._request(planned)
+        request, stream = self._request(planned, seen)
         seen.sent = time.monotonic_ns()
         seen.deadline = seen.sent + int(planned.patience * 1e9)
         prompt = sum(len(m["content"]) for m in planned.messages) // 4
@@ -246,7 +247,8 @@
             seen.after_end += len(self.sock.recv(65_536))
         self.close()
 
-    def _request(self, planned: Planned) -> tuple[bytes, bool]:
+    def _request(self, planned: Planned, seen: Seen) -> tuple[bytes, bool]:
+        """The bytes of a request, and whether its answer is a stream."""
         traffic = planned.traffic
         headers = [
             ("Host", f"{self.host}:{self.port}"),
@@ -306,7 +308,7 @@
                     seen.after_end += 1  # whatever comes in one piece with the end
                 elif isinstance(event, http1.ResponseHead):
                     seen.head, seen.status = now, event.status
-                    seen.request = event.headers.get("x-request-id")
+                    seen.request = event.headers.get("x-request-id") or seen.request
                     seen.instance = event.headers.get("x-stonetrack-instance")
                     if "text/event-stream" not in event.headers.get("content-type"):
                         events = None
@@ -379,10 +381,16 @@
     """Plays a schedule with as many client threads as it needs, up to ``most``; ``to`` gives each try its address."""
 
     def __init__(
-        self, to: Callable[[], tuple[str, int]], clients: Clients, planned: list[Planned], seed: int, most: int = 400
+        self,
+        to: Callable[[], tuple[str, int]],
+        clients: Clients,
+        planned: list[Planned],
+        seed: int,
+        most: int = 400,
+        make: type[Client] = Client,
     ) -> None:
         self.to, self.clients, self.planned, self.seed = to, clients, planned, seed
-        self.most = most
+        self.most, self._make = most, make
         self.seen: list[Seen] = []
         self._jobs: queue.SimpleQueue[Planned | None] = queue.SimpleQueue()
         self._lock = threading.Lock()
@@ -413,7 +421,7 @@
         return sorted(self.seen, key=lambda each: each.sent)
 
     def _work(self, number: int) -> None:
-        client = Client("", 0, self.seed * 10_000 + number)
+        client = self._make("", 0, self.seed * 10_000 + number)
         while (planned := self._jobs.get()) is not None:
             for retry in range(self.clients.retries + 1):
                 client.turn_to(*self.to())
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -57,6 +57,7 @@
         "wire",
         "settings",
     },  # fmt: skip
+    "soak": {"fleet", "standin", "wire"},
     "day": {"pages", "fleet", "standin", "engines", "wire", "settings"},
     "cli": {
         "control",
@@ -68,6 +69,7 @@
         "capture",
         "lists",
         "fleet",
+        "soak",
         "day",
         "standin",
         "daemon",
@@ -94,7 +96,7 @@
     "fleet/script.py", "fleet/model.py", "fleet/judge.py", "fleet/serving.py", "fleet/faulted.py",
     "fronts/answers.py", "fronts/classify.py", "fronts/auth.py", "fronts/errors.py",
     "fronts/jsonguard.py", "settings/*.py", "standin/engine.py", "standin/answers.py", "fleet/rules.py",
-    "fleet/traffic.py", "day/script.py",
+    "fleet/traffic.py", "soak/engine_side.py", "day/script.py",
     "day/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
     "capture/journal.py", "manage/framing.py", "manage/datastore.py", "manage/yang.py", "manage/model.py",
