What is held behind a send without a sign of arrival is released in time

Cause: Router._advance alone looked at stands_since, with no attempt out; _sweep called late attempts off by credit, attempts and class, so a state behind a send into silence stood until the client's deadline. Ends that prove nothing (reset, timed out, cancelled) gave it new time.

--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -61,7 +61,7 @@
 ALL = -1  # stands for every class
 ARRIVALS, READS, WRITES = "arrivals", "reads", "writes"  # what is counted of a fleet's flow: the last two where warm
 UNPROVEN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)  # it may have run
-UNREACHED = (Outcome.CONNECT_FAILED, Outcome.NOT_SENT)  # nothing of the attempt was at any engine
+ARRIVED = (Outcome.READ, Outcome.SERVED, Outcome.ERROR, Outcome.FULL)  # an engine's own answer: it was there
 
 
 class Phase(Enum):
@@ -185,8 +185,9 @@
     expected: float = 0.0  # time to the first token as last estimated, as a share of the aim
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
+    place_open: bool = False  # that writer has not answered: the read out is not known to have arrived
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
-    stands_since: int = 0  # when the last attempt that reached an engine ended: a state waits since then
+    stands_since: int = 0  # when the last attempt known to have arrived ended, or a place was asked for
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
     eased: tuple[str, ...] = ()  # servers in slow start that it was sent to: never again, so that their budget holds
     pair: tuple[str, ...] = ()  # readers that were asked for their reports before the first send
@@ -243,8 +244,8 @@
         elif (request := self.requests.get(event.request)) is not None:
             if isinstance(event, api.RequestGone) and request.phase is not Phase.ENDED:
                 self._end(request)
-            elif isinstance(event, api.PlaceAnswer) and request.place == event.server and not event.held:
-                self._drop_place(request)
+            elif isinstance(event, api.PlaceAnswer) and request.place == event.server:
+                self._place_answered(request, event.held)
         if not self.timer_set and (self.held or self.out or self.subscribe_at):
             self.timer_set = True
             self.actions.append(api.SetTimer(0, SWEEP))
@@ -658,7 +659,7 @@
         steps = 1 if request.reader or whole else 2
         if left <= ANSWER_MARGIN or request.attempts + steps > self.settings.max_attempts:
             return self._give_up(request)
-        if request.reader and self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within:
+        if request.reader and self._stands_too_long(request):
             # Also before a send: one that does not reach its engine leaves the state standing meanwhile.
             self._release(request)
             return self._advance(request)
@@ -712,14 +713,45 @@
             beside = [s for s in self.pools[Role.WRITER] if s.cell == writer.cell and s is not writer]
             self.actions += [api.Probe(s.name) for s in [writer, *beside[:1]] if self._warm(s)]
         if self.settings.may_hold_place:
-            request.place, request.holds = writer.name, True
+            request.place, request.holds, request.place_open = writer.name, True, True
+            request.stands_since = self.now
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
 
+    def _place_answered(self, request: Request, held: bool) -> None:
+        """Either answer is given on a read that is out there: it has arrived."""
+        request.place_open = False
+        if not held:
+            self._drop_place(request)
+
+    def _stands_too_long(self, request: Request) -> bool:
+        """Whether what is held has to go now, if the release is to be heard within the time allowed."""
+        return self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within
+
+    def _let_go_unproven(self, request: Request) -> None:
+        """Let go of what is held behind an attempt that is not known to have arrived.
+
+        Exception (silent send): bytes that a kernel took may reach nobody, and what was held for their attempt would
+        stand until that ends.  Acts where no answer shows an arrival in time: behind a send to a writer the state is
+        released and the attempt stays out, since a release leaves alone what an attempt waits for; a read whose place
+        nobody answered for is taken back, since a release would take what it reads.  Could cost a second read: of a
+        prompt whose attempt fails later, or whose writer did not answer for the place."""
+        if not self._stands_too_long(request):
+            return
+        if request.writing and request.reader:
+            self._release(request)
+        elif not request.writing and request.place_open:
+            request.place_open = False
+            if self.settings.may_cancel and request.phase is not Phase.ENDED:
+                request.due = float("inf")
+                self.actions.append(api.Cancel(request.name, request.attempts))
+            else:
+                self._release(request)
+
     def _drop_place(self, request: Request) -> None:
         if (writer := self.servers.get(request.place)) is not None:
             writer.streams -= 1
-        request.place = ""
+        request.place, request.place_open = "", False
 
     def _release(self, request: Request) -> None:
         """Let go of the state and the place held for a request, if any."""
@@ -781,7 +813,7 @@
         if request is None or request.attempts != event.attempt or not request.server:
             return
         request.attempts += 1
-        if event.outcome not in UNREACHED:
+        if event.outcome in ARRIVED:
             request.stands_since = self.now
         self.out.pop(request.name, None)
         ended = event.finished or request.phase is Phase.ENDED
@@ -795,7 +827,7 @@
             request.reader, request.holds = event.server, True
         elif event.state_missing:
             # The reader lost the state (dead, restarted, cut off): read anew, free what a place took.
-            request.failed += (request.reader,)
+            request.failed += (request.reader,) if request.reader else ()
             self._release(request)
         elif event.outcome not in (Outcome.SERVED, Outcome.NOT_SENT):
             request.failed += (event.server,)
@@ -897,7 +929,7 @@
                 return
         self._set_due(request, server)
         again = request.cls.effect is Effect.SAFE or not request.writing
-        steps = 1 if request.reader or request.writing and not request.work else 2
+        steps = 1 if request.reader else 2
         moves = server.answered < request.sent <= server.good_at  # what was sent before it still comes
         if moves or not (
             again
@@ -929,6 +961,7 @@
         for name in list(self.out):
             request = self.requests[name]
             server = self.servers.get(request.server)
+            self._let_go_unproven(request)
             if request.phase is not Phase.ENDED and server is not None and request.due <= self.now:
                 self._call_off(request, server)
         for name in list(self.held):
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -11,7 +11,7 @@
 import pytest
 
 from stonetrack import api
-from stonetrack.logic import MS, RELEASE_SHARE, SWEEP
+from stonetrack.logic import MS, RELEASE_SHARE, SECOND, SWEEP
 from tests.bed import FLEET, SETTINGS, Bed, of, only
 
 HELD = replace(SETTINGS, release_within=500 * MS, may_hold_place=True)
@@ -52,3 +52,22 @@
     got = bed.wait(900 * MS)
     assert not of(got, api.Cancel) and not of(got, api.Release)
     assert bed.read(send, elapsed=10 * MS).server[0] == "w"
+
+
+@pytest.mark.parametrize("outcome", [api.Outcome.RESET, api.Outcome.CANCELLED, api.Outcome.TIMED_OUT])
+def test_an_end_that_proves_no_arrival_gives_a_state_no_new_time(outcome: api.Outcome) -> None:
+    bed = Bed(HELD, FLEET)
+    send = bed.read(only(bed.ask("q"), api.Send))
+    read_at = bed.now
+    bed.end(send, outcome, 1, 200 * MS)
+    while not of(bed.actions, api.Release):
+        bed.wait(50 * MS)
+        assert bed.now - read_at <= BY_NOW, "it was given new time"
+
+
+def test_what_is_released_during_an_attempt_is_read_anew_with_two_attempts_left() -> None:
+    """Without its state a decode attempt that is called off needs two more: none is called off that can't have them."""
+    bed = Bed(replace(HELD, max_attempts=3), FLEET)
+    bed.read(only(bed.ask("q", left=20 * SECOND), api.Send))
+    got = bed.wait(9 * SECOND)
+    assert of(got, api.Release) and not of(got, api.Cancel)
