Releases wait for nobody: heard before the next attempt, sent past a blocked thread

Cause, all of one class (a local event taken for a remote one), found by the audit and the soak: a release not heard in 60 ms was dropped for an attempt that may not arrive (Leases.settle); a release decided while its request's thread connects waited for it (Core.tell); a reservation not answered in time was forgotten, though its bytes may be carried out when an engine or a path comes back (Leases._places); a drain left releases after 1 s. Now an attempt begins only once the release before it is heard (0.3 s, two tries, else not sent), the core sends a release in place of a blocked thread, unanswered reservations are watched until answered, ended or 60 s old (edge/late_answers.py), a drain waits 2.5 s.

--- a/stonetrack/edge/budget.py
+++ b/stonetrack/edge/budget.py
@@ -11,6 +11,7 @@
 
 FIXED = 24  # standard streams, listener, reserve, epoll, discovery's watch (old and new), the configuration's file
 CALLS = 11  # connections for places, releases and probes: one for each of their threads, and two
+LATE_MOST = 16  # a second of reservations at engines that have fallen silent, on the busiest nodes
 BYTES_A_REQUEST = 200_000  # measured: 60,000 to 90,000 for stack and buffers; and a body
 BASE_BYTES = 18_000_000  # measured: 13 to 14 million for interpreter, imports and tables
 
@@ -23,6 +24,7 @@
     requests: int  # requests under way, so attempts too
     wakers: int
     kept: int  # idle connections to engines
+    late: int  # connections of calls whose answer did not come in time
 
 
 def divide(sockets: int, memory_mb: float) -> Budget:
@@ -31,4 +33,6 @@
     clients = free * 46 // 100
     requests = min(free * 37 // 100, max(16, int((memory_mb * 1e6 - BASE_BYTES) / BYTES_A_REQUEST)))
     wakers = free * 7 // 100
-    return Budget(clients, requests, wakers, free - clients - requests - wakers)
+    rest = free - clients - requests - wakers
+    late = min(rest // 4, LATE_MOST)
+    return Budget(clients, requests, wakers, rest - late, late)
--- a/stonetrack/edge/calls.py
+++ b/stonetrack/edge/calls.py
@@ -70,16 +70,23 @@
         """Monotonic time in seconds at which an engine last answered on the shared pool; 0 for never."""
         return self._pool.heard(engine.host, engine.port)
 
-    def call(self, engine: Engine, message: bytes, timeout: float) -> Answer:
-        """One call's answer.  Raises OSError; the engine then counts as suspect for a while."""
+    def call(
+        self, engine: Engine, message: bytes, timeout: float, late: Callable[[socket.socket], None] | None = None
+    ) -> Answer:
+        """One call's answer.  Raises OSError; the engine then counts as suspect for a while.
+
+        ``late`` is handed the connection of a call that was not answered in time: it may be carried out yet.
+        """
         try:
             sock, age = self._pool.take(engine.host, engine.port, min(self._connect, timeout))
             try:
                 answer = exchange(sock, message, timeout)
-            except OSError as error:
+            except TimeoutError:
+                (late or reset)(sock)
+                raise
+            except OSError:
                 reset(sock)
-                if not isinstance(error, TimeoutError):
-                    self._pool.unanswered(age)
+                self._pool.unanswered(age)
                 raise
         except MachineShort:
             raise  # no fault of the engine's
--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -23,7 +23,6 @@
 
 SERVICE = "origin.svc"
 CONFIRM = 0.02  # seconds in which an engine may show that it saw an attempt taken back
-_NOTHING_DONE = frozenset({api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.NOT_SENT})  # no release follows
 _LIMITS = http1.Limits(head=16_384, headers=64, body=8 << 20)
 
 
@@ -92,14 +91,11 @@
             short = isinstance(error, MachineShort)  # no fault of the engine's
             outcome = api.Outcome.NOT_SENT if short else api.Outcome.CONNECT_FAILED
             return Over(outcome, f"engine {server}: {error}")
-
-        def ended(outcome: api.Outcome) -> None:
-            if settled is Settled.DROPPED and outcome in _NOTHING_DONE:
-                self.leases.release(ask.request)
-
+        if settled is Settled.UNHEARD:
+            close(sock)  # not given back: nothing was heard on it
+            return Over(api.Outcome.NOT_SENT, "an older release of the request is not heard yet")
         if not may_send(server):  # a list may have come while we connected
             reset(sock)
-            ended(api.Outcome.NOT_SENT)
             return Over(api.Outcome.NOT_SENT, f"engine {server} is leaving")
         if self._trace is not None:
             self._trace(f"trace conn {ask.request} {number} {server} {age}")
@@ -119,7 +115,7 @@
         attempt = SocketAttempt(
             sock,
             request_bytes(ask, left),
-            Exchange(engine.role, _LIMITS, self._read_report, lambda: self.pool.unanswered(age), ended),
+            Exchange(engine.role, _LIMITS, self._read_report, lambda: self.pool.unanswered(age)),
             CONFIRM,
             lambda back: self.pool.give(engine.host, engine.port, back),
             api.Outcome.CONNECT_FAILED,
@@ -128,7 +124,6 @@
             self._traced[attempt] = server
         for event in attempt.push():
             if isinstance(event, Over):
-                ended(event.outcome)
                 return event
         return attempt
 
--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -64,7 +64,7 @@
 class Exchange:
     """Reads one answer; see the table above.  Feed it until it gives an ``Over``."""
 
-    __slots__ = ("_ahead", "_body", "_ended", "_first", "_head", "_over", "_read_report", "_reader", "_role", "_tail",
+    __slots__ = ("_ahead", "_body", "_first", "_head", "_over", "_read_report", "_reader", "_role", "_tail",
                  "_unanswered", "began", "reusable", "seen")  # fmt: skip
 
     def __init__(
@@ -73,11 +73,10 @@
         limits: http1.Limits,
         read_report: ReadReport,
         unanswered: Callable[[], None] = lambda: None,
-        ended: Callable[[Outcome], None] = lambda outcome: None,
     ) -> None:
         self._reader = http1.MessageReader(http1.Side.RESPONSES, limits)
         self._role = role
-        self._read_report, self._unanswered, self._ended = read_report, unanswered, ended
+        self._read_report, self._unanswered = read_report, unanswered
         self._head: http1.ResponseHead | None = None
         self._body = bytearray()  # of an answer that is no stream, and a stream's beginning
         self._first = False  # a stream that waits for its first event
@@ -130,7 +129,6 @@
         if self._over:
             return
         self._over = True
-        self._ended(outcome)
         events.append(Over(outcome, report=self._report(), **more))
 
     def _report(self) -> LoadReport | None:
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -6,30 +6,32 @@
 
 Order.  A release that is decided before an attempt reaches an engine before it: one that came during the new read would
 let go of what that reads (seen: 3 of 5 reads done anew ended at the writer as 410).  So an attempt that has its
-connection waits for its request's release, ``SETTLE`` at most; one not heard by then is dropped, and what it was for
-goes with the first token or with the next release.  Not before it has one: attempts that fail to connect, one after
-the other, would each drop a release that nobody heard, and what is held would stay for all of that time.  For the same
-cause one that was dropped is decided anew where the attempt was turned away: then there may be no next release.
+connection waits for its request's release, ``SETTLE`` at most; while that is not heard the attempt does not begin.  A
+release is never dropped for an attempt: the attempt may not arrive, and then nobody would release what is held.
 
 A place that is still being asked for when its request is let go of is let go of once more after the answer, unless a
 new attempt has begun meanwhile.  One that is answered only after an attempt has begun may have been taken behind that
 attempt: it is let go of when the request is over (:meth:`Leases.ended`), since a release during the attempt would take
-what the attempt needs.
+what the attempt needs.  One that is not answered in time may be taken later still, when an engine or a path comes back:
+its connection is watched for that (:mod:`.late_answers`).
 """
 
 from __future__ import annotations
 
 import contextlib
 import queue
+import socket
 import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from stonetrack.api import Outcome
 from stonetrack.edge.calls import Calls
 from stonetrack.edge.hosts import Engine
+from stonetrack.edge.late_answers import LateAnswers
 from stonetrack.engines.releases import Heard, Item
 from stonetrack.engines.releasing import Releasing
 from stonetrack.node.records import Records
@@ -39,7 +41,7 @@
 
 PATH = "/kv/leases/"
 RELEASE_TIMEOUT, HOLD_TIMEOUT = 0.12, 0.5  # seconds; an engine that can't tell of a place takes 0.3
-SETTLE = 0.06  # seconds for which an attempt waits for an older release of its request
+SETTLE = 0.3  # seconds for which an attempt waits for an older release of its request: two tries of it
 _NOT_HELD = frozenset({404, 409})  # answers to a place that say for certain that none is held
 _MOST_PLACES = 64  # waiting to be asked for: more than that come too late
 
@@ -49,7 +51,7 @@
 
     NOTHING = "there was none"
     HEARD = "heard"
-    DROPPED = "dropped: it is due again if the attempt brings nothing about"
+    UNHEARD = "not heard: the attempt may not begin"
 
 
 @dataclass(slots=True)
@@ -82,8 +84,11 @@
         threads: int = 3,
         log: Callable[[str], None] = lambda text: None,
         records: Records | None = None,
+        late_most: int = 16,
     ) -> None:
         self._calls, self._clock, self._records = calls, clock, records
+        self._late_answers = LateAnswers(late_most, self._came_late, log)
+        self._under_way: set[str] = set()  # requests that asked for a place and are not over
         self._engines: dict[str, Engine] = {}
         self._jobs: queue.Queue[tuple[str, Engine, _Hold, Callable[[bool], None]] | None] = queue.Queue(_MOST_PLACES)
         self._holding: dict[str, _Hold] = {}
@@ -96,12 +101,14 @@
     def start(self) -> None:
         """Start the threads."""
         self._releasing.start()
+        self._late_answers.start()
         for thread in self._threads:
             thread.start()
 
     def stop(self) -> None:
         """Stop the threads; what is open stays so."""
         self._releasing.stop(0.0)
+        self._late_answers.stop()
         for _ in self._threads:
             with contextlib.suppress(queue.Full):
                 self._jobs.put_nowait(None)
@@ -112,8 +119,8 @@
 
     @property
     def open(self) -> int:
-        """Releases not heard yet and places being asked for."""
-        return len(self._releasing) + len(self._holding)
+        """Releases not heard yet, places being asked for, and calls that may be carried out yet."""
+        return len(self._releasing) + len(self._holding) + len(self._late_answers)
 
     def wait(self, seconds: float) -> bool:
         """Let open releases end for so many seconds; whether all did."""
@@ -122,11 +129,18 @@
             time.sleep(0.01)
         return not self.open
 
-    def _call(self, engine: Engine, method: str, request: str, timeout: float) -> int:
+    def _call(
+        self,
+        engine: Engine,
+        method: str,
+        request: str,
+        timeout: float,
+        late: Callable[[socket.socket], None] | None = None,
+    ) -> int:
         """One call's status.  Raises OSError."""
         message = writer.request(method, PATH + request, [("Host", f"{engine.host}:{engine.port}")],
                                  b"" if method == "POST" else None)  # fmt: skip
-        return self._calls.call(engine, message, timeout).head.status
+        return self._calls.call(engine, message, timeout, late).head.status
 
     # Places.
 
@@ -139,6 +153,7 @@
         asked = _Hold()
         with self._hold_lock:
             self._holding[request] = asked
+            self._under_way.add(request)
         try:
             self._jobs.put_nowait((request, engine, asked, answer))
         except queue.Full:
@@ -153,7 +168,8 @@
                     continue
                 asked.sent = True
             try:
-                status = self._call(engine, "POST", request, HOLD_TIMEOUT)
+                late = partial(self._late_answers.watch, request)
+                status = self._call(engine, "POST", request, HOLD_TIMEOUT, late)
             except OSError:
                 status = 0  # not heard: it may hold one all the same
             told = Outcome.SERVED if status in (200, 409) else None  # either tells of a read that is out there
@@ -179,10 +195,18 @@
         if request not in self._open:
             return Settled.NOTHING
         with self._releasing.changed:
-            if self._releasing.settle(lambda: request not in self._open, SETTLE):
-                return Settled.HEARD
-            self._releasing.book.done(self._open.pop(request))
-            return Settled.DROPPED
+            heard = self._releasing.settle(lambda: request not in self._open, SETTLE)
+            return Settled.HEARD if heard else Settled.UNHEARD
+
+    def _came_late(self, request: str) -> None:
+        """A place that was asked for long ago may be held since just now: for nobody, unless an attempt needs it."""
+        self._note(request, Step.RESERVATION_ANSWERED, why="late, or not at all")
+        needed = self._records is None or not self._records.begun(request)
+        with self._hold_lock:
+            if needed and request in self._under_way:
+                self._late.add(request)
+                return
+        self._add(request)
 
     def _drop_hold(self, request: str, let_go: bool) -> None:
         """Take back a place not asked for yet; of one that is being asked for, note what follows its answer."""
@@ -205,6 +229,7 @@
         with self._hold_lock:
             late = request in self._late
             self._late.discard(request)
+            self._under_way.discard(request)
         if late:
             self._add(request)
 
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -47,6 +47,7 @@
 SILENCE = 4 * SECOND + SECOND // 2  # a stream without an event for so long has broken
 STALL = 10 * SECOND  # a client that takes nothing for so long has gone
 COMING = 0.55  # seconds after TERM in which clients still come (0.2 to 0.4 by the protocol); 0.7 are too many
+LAST_RELEASES = 2.5  # seconds after the last answer in which releases may still be heard, before the process ends
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
@@ -66,13 +67,22 @@
         budget = divide(config.limits.sockets, config.limits.memory_mb)
         self._told = drill.Instance({**config.pairs, "entropy": str(config.seed)})
         record = self._recorder() if traced else None
-        self.core = Core(self._told.router, self.clock, log=log, probe=self._probe, record=record)
+        self.core = Core(
+            self._told.router,
+            self.clock,
+            log=log,
+            probe=self._probe,
+            release=lambda request: self.leases.release(request),
+            record=record,
+        )
         settings = config.settings
         self.pool = Pool(budget.kept, config.connection_idle / SECOND / 2, budget.kept)
         connect = max(settings.connect_timeout, 1) / SECOND
         self.calls = Calls(self.pool, self.clock, connect)
         self.records = Records(self.clock, settings.release_within, log, log_all=traced)
-        self.leases = Leases(self.calls, self.clock, settings.release_within, log=log, records=self.records)
+        self.leases = Leases(
+            self.calls, self.clock, settings.release_within, log=log, records=self.records, late_most=budget.late
+        )
         self.probes = Probes(self.calls, self.clock, self._report, self.core.tell, log=log)
         self.engines = EdgeEngines(
             self.pool,
@@ -231,7 +241,7 @@
         self.host.drain(sweep=True)
         while self.core.open_requests or not self.host.seal():
             time.sleep(0.02)
-        self.leases.wait(1.0)
+        self.leases.wait(LAST_RELEASES)
 
 
 def run(environ: Mapping[str, str]) -> int:
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -35,7 +35,7 @@
 class Ticket:
     """One request's mailbox."""
 
-    __slots__ = ("acting", "commands", "owner", "request", "wake")
+    __slots__ = ("acting", "blocked", "commands", "owner", "released", "request", "wake")
 
     def __init__(self, request: str, wake: Callable[[], None]) -> None:
         self.request = request
@@ -43,6 +43,8 @@
         self.owner = threading.get_ident()
         self.wake = wake
         self.acting = ""  # what its last send was decided with
+        self.blocked = False  # its thread is in a call that may last, and carries out nothing meanwhile
+        self.released = False  # a release was carried out in its place, since it was last unblocked
 
 
 class Core:
@@ -56,6 +58,7 @@
         log: Callable[[str], None],
         probe: Callable[[str], None] = lambda server: None,
         subscribe: Callable[[], None] = lambda: None,
+        release: Callable[[str], None] | None = None,
         record: Callable[[int, api.Event, list[api.Action]], None] | None = None,
         acting: Callable[[], str] | None = None,
     ) -> None:
@@ -63,6 +66,7 @@
         self._acting = acting  # asked under the lock, at each decision to send
         self.router = router
         self._log, self._probe, self._subscribe = log, probe, subscribe
+        self._release = release  # carries out a release at once, by request, where that needs nothing of its thread
         self._record = record  # told of every call under the lock; must not wait
         self._lock = threading.Lock()
         self._tickets: dict[str, Ticket] = {}
@@ -155,6 +159,10 @@
                     outside.append(action)
                 elif (owner := self._tickets.get(action.request)) is not None:
                     owner.commands.append(action)
+                    if isinstance(action, api.Release) and owner.blocked and self._release is not None:
+                        # A thread told is not a release sent: its thread may connect for longer than is left.
+                        owner.released = True
+                        outside.append(action)
                     if self._acting is not None and isinstance(action, api.Send):
                         owner.acting = self._acting()
                     if owner.owner != me and (not woken or woken[-1] is not owner):
@@ -166,6 +174,8 @@
                 self._probe(action.server)
             elif isinstance(action, api.Log):
                 self._log(action.text)
+            elif isinstance(action, api.Release) and self._release is not None:
+                self._release(action.request)
             else:
                 self._subscribe()
 
--- a/stonetrack/node/drive.py
+++ b/stonetrack/node/drive.py
@@ -17,7 +17,7 @@
 
 from stonetrack.api import Action, AttemptEnded, Event, FirstToken, Outcome, PlaceAnswer, RequestGone
 from stonetrack.node import sockets
-from stonetrack.node.core import Core
+from stonetrack.node.core import Core, Ticket
 from stonetrack.node.life import (
     Abort,
     Begin,
@@ -96,6 +96,7 @@
         self.core, self.engines, self.bounds, self.sink, self.waker = core, engines, bounds, sink, waker
         self.records = records  # told of each step, and asked before each attempt
         self.life = Life(ask, bounds.stream_silence, core.clock())
+        self.ticket: Ticket | None = None
         self.attempt: Attempt | None = None
         self.late: deque[Over] = deque()  # outcomes of attempts that ended at once
         self.commands: deque[Action] = deque()
@@ -105,7 +106,7 @@
         """From arrival to the last outcome; the finished life, for the record."""
         core, life = self.core, self.life
         self.waker.clear()
-        ticket = core.arrive(life.ask, self.waker.wake)
+        ticket = self.ticket = core.arrive(life.ask, self.waker.wake)
         self.commands = ticket.commands
         self.progress = core.clock()
         try:
@@ -298,7 +299,13 @@
             self.progress = self.core.clock()
 
     def _start(self, server: str, number: int, state: Any, place: bool) -> None:
-        started = self.engines.start(self.life.ask, server, number, state, place, self._may_send)
+        if self.ticket is not None:
+            self.ticket.blocked, self.ticket.released = True, False
+        try:
+            started = self.engines.start(self.life.ask, server, number, state, place, self._may_send)
+        finally:
+            if self.ticket is not None:
+                self.ticket.blocked = False
         if not isinstance(started, Over):
             self.attempt = started
         if self._client_left():
@@ -309,6 +316,8 @@
     def _may_send(self, server: str) -> bool:
         """Whether an attempt may still begin: asked right before its first byte, since connecting takes time in which
         the client may leave and the list may close the engine."""
+        if self.ticket is not None and self.ticket.released:
+            return False  # what it was to fetch has been released meanwhile
         left, closed = self._client_left(), not self.core.may_send(server)
         if self.records is None:
             return not left and not closed
--- a/stonetrack/node/records.py
+++ b/stonetrack/node/records.py
@@ -142,6 +142,12 @@
                 self.refusals[refusal] += 1
             return refusal
 
+    def begun(self, request: str) -> bool:
+        """Whether a request's answer has begun."""
+        with self._lock:
+            record = self._records.get(request)
+            return record is not None and record.ledger.begun
+
     def close(self, request: str) -> None:
         """The request's thread has left it."""
         with self._lock:
--- a/stonetrack/soak/report.py
+++ b/stonetrack/soak/report.py
@@ -17,7 +17,8 @@
     broken = by_invariant(result.violations) or "none"
     return (
         f"seed {result.seed}: service {result.service:.3f} of {result.requests} requests, {len(result.faults)} faults, "
-        f"harness late {result.lateness / 1e6:.0f} ms, violations {broken}"
+        f"harness late {result.lateness / 1e6:.0f} ms, processors waited for {result.machine_waited:.2f} of the time, "
+        f"violations {broken}"
     )
 
 
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -62,6 +62,19 @@
          told(3, Step.RESERVATION_ANSWERED, outcome=Outcome.SERVED)),
         (sent(0, reads=True), told(1, Step.RESERVATION_ASKED), told(301, Step.RESERVATION_ANSWERED)),
     ),
+    # An attempt that is known to have arrived gives what it brought about its time from its end on.
+    (
+        (sent(0, reads=True), told(1, Step.RESERVATION_ASKED),
+         told(3, Step.RESERVATION_ANSWERED, outcome=Outcome.SERVED), ended(800, Outcome.CANCELLED)),
+        (sent(0, reads=True), told(1, Step.RESERVATION_ASKED), ended(800, Outcome.CANCELLED)),
+    ),
+    # A release decided with the end of a read that proves nothing is good for what it may have left.
+    (
+        (sent(0, reads=True), told(99, Step.RELEASE_DECIDED), ended(100, Outcome.RESET),
+         told(110, Step.RELEASE_HEARD, decided=BASE + 99 * MS)),
+        (told(0, Step.RELEASE_DECIDED), sent(1, reads=True), ended(100, Outcome.RESET),
+         told(110, Step.RELEASE_HEARD, decided=BASE)),
+    ),
     # A read whose connection broke may have ended well.
     ((sent(0, reads=True), ended(9, Outcome.NOT_SENT)), (sent(0, reads=True), ended(9, Outcome.RESET))),
     ((*READ, ended(101, Outcome.FULL, 1, state_missing=True)), READ),
