--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -193,6 +193,8 @@
                 elsewhere = self._let_go_place() if self.place and self.place != server else []
                 return [*elsewhere, Start(server, self.number, state, place=self.place == server, limit=limit)]
             case api.HoldPlace(_, server):
+                if self.stage is not Stage.OUT:
+                    return []  # its read was not sent after all: a place would be held for nobody
                 self.place = server
                 return [Hold(server)]
             case api.Release():
--- a/stonetrack/soak/nodes.py
+++ b/stonetrack/soak/nodes.py
@@ -14,6 +14,7 @@
 from stonetrack.fleet.processes import Part
 
 READY_WITHIN = 30.0  # seconds
+SECOND_TERM = 0.3  # seconds after the first SIGTERM
 BROKEN_FILE = b'{"listen": "127.0.0.1'  # cut off: has to be refused whole
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
@@ -41,18 +42,20 @@
 class Node:
     """One node under one name, through all its runs."""
 
-    def __init__(self, number: int, port: int, configuration: bytes, folder: Path, trace: bool) -> None:
+    def __init__(
+        self, number: int, port: int, configuration: bytes, folder: Path, trace: bool, program: Path | None = None
+    ) -> None:
         self.number, self.port = number, port
         self._configuration = configuration
         folder.mkdir(parents=True, exist_ok=True)
         self._path = folder / "config.json"
         self._path.write_bytes(configuration)
         environment = {"EDGE_CONFIG": str(self._path), **({"EDGE_TRACE": "1"} if trace else {})}
-        root = Path(__file__).parents[2]
-        self.part = Part(self.name, ("edge",), folder, root, environment)
+        self.part = Part(self.name, ("edge",), folder, program or Path(__file__).parents[2], environment)
         self.lives: list[Life] = []
         self.crashes: list[str] = []
         self._lock = threading.Lock()
+        self.one_at_a_time = threading.Lock()  # held by whoever ends, starts or signals it
 
     @property
     def name(self) -> str:
@@ -105,12 +108,15 @@
         self.lives[-1] = Life(last.started, last.told_to_end, time.monotonic_ns(), killed)
 
     def terminate(self, seconds: float) -> bool:
-        """SIGTERM, and SIGKILL after so many seconds; whether it ended by itself."""
+        """SIGTERM, again a little later, and SIGKILL after so many seconds; whether it ended by itself."""
+        until = time.monotonic() + seconds
         with self._lock:
             last = self.lives[-1]
             self.lives[-1] = Life(last.started, time.monotonic_ns())
             self.part.signal(signal.SIGTERM)
-        clean = self.part.finish(time.monotonic() + seconds)
+        time.sleep(SECOND_TERM)
+        self.part.signal(signal.SIGTERM)
+        clean = self.part.finish(until)
         with self._lock:
             if not self.lives[-1].ended:
                 self._note_end(not clean)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -235,3 +235,14 @@
             world.run()
             ends.append((world.now, world.finals, world.starts))
         assert ends[0] == ends[1]
+
+
+def test_a_place_is_not_asked_for_where_the_read_was_not_sent() -> None:
+    """Nobody would take it, and the engine may hold it all the same."""
+    for sent in (True, False):
+        life = Life(ports.Ask("q", 0, "s", 3 * SECOND, 1_000, {}), SECOND)
+        assert life.command(api.Send("q", "r0"), 0)
+        if not sent:
+            life.attempt(ports.Over(api.Outcome.NOT_SENT), 1)
+        got = life.command(api.HoldPlace("q", "w0"), 2)
+        assert got == ([Hold("w0")] if sent else []) and life.place == ("w0" if sent else "")
