A release left alone is said again; the next try goes to the best engine left

Cause, found by the soak: a release behind an attempt that has arrived leaves its state alone, and where that attempt was then turned away nobody released it (Router, Life: it is said again at the attempt's end); leases.pick took the n-th of a list whose failed engines had moved back, so good engines were skipped and a release was heard after 2 s (each engine once, the best left first).

--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -64,13 +64,18 @@
     passed: bool = False  # an attempt has begun meanwhile
 
 
-def pick(engines: list[Engine], heard: Callable[[Engine], float], suspects: dict[str, int], now: int,
-         tries: int) -> Engine | None:  # fmt: skip
-    """The engine for a release's n-th try: not one that failed of late, up, and the last that answered anything."""
+def pick(
+    engines: list[Engine], heard: Callable[[Engine], float], suspects: dict[str, int], now: int, tried: set[str]
+) -> Engine | None:
+    """The engine for a release's next try: not one that it was sent to already, nor one that failed of late; up; the
+    last that answered anything.  Notes it as tried; once all were, all may be again."""
+    if tried.issuperset(engine.name for engine in engines):
+        tried.clear()
     if not engines:
         return None
-    ranked = sorted(engines, key=lambda e: (suspects.get(e.name, 0) > now, not e.up, -heard(e)))
-    return ranked[tries % len(ranked)]
+    best = min(engines, key=lambda e: (e.name in tried, suspects.get(e.name, 0) > now, not e.up, -heard(e)))
+    tried.add(best.name)
+    return best
 
 
 class Leases:
@@ -256,7 +261,7 @@
 
     def _release(self, item: Item) -> Heard:
         engines = list(self._engines.values())
-        engine = pick(engines, self._calls.heard, self._calls.suspects, self._clock(), item.tries - 1)
+        engine = pick(engines, self._calls.heard, self._calls.suspects, self._clock(), item.tried)
         if engine is None:
             return Heard.AGAIN
         try:
--- a/stonetrack/engines/releases.py
+++ b/stonetrack/engines/releases.py
@@ -48,6 +48,7 @@
     state: dict[str, Any] | None  # None for a place
     decided: int
     tries: int = 0
+    tried: set[str] = field(default_factory=set)  # engines asked, where any may be: each of them once, then again
 
 
 @dataclass(slots=True)
--- a/stonetrack/fleet/links.py
+++ b/stonetrack/fleet/links.py
@@ -373,7 +373,7 @@
         return min(_BEAT / 1e9, max(0.0, wait))
 
     def _listen(self, link: Link) -> None:
-        if link.listener is None and not link.policy.refuse:
+        if link.listener is None and not link.policy.refuse and not link.fillers:
             link.listener = _bound(link.port)
             link.listener.listen(1024)
             link.listener.setblocking(False)
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -740,6 +740,7 @@
             return
         if request.writing and request.reader:
             self._release(request)
+            request.holds = True  # what the attempt waits for, if it has arrived: let go of when that ends otherwise
         elif not request.writing and request.place_open:
             request.place_open = False
             if self.settings.may_cancel and request.phase is not Phase.ENDED:
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -22,6 +22,8 @@
   ``Finish`` that it causes, so that the router never books an answer that was not given.
 - A streamed answer that has begun has met the client's time; a whole one is due by then as a whole.
 - After ``Release`` nothing is held; with the first token what was held has gone by itself (the engines' protocol).
+- A ``Release`` while an attempt is out leaves alone the state that the attempt waits for, if it has arrived: the next
+  ``Release``, after that attempt's end, lets go of it.
 - A place is good for one send to its writer.  When the request is sent elsewhere, or that send comes to nothing, it is
   let go of here: the router, which counts places only, takes it as gone from the send on.
 - A read that ended uncertainly may have left a state that nobody was told of; it is let go of by its attempt's number.
@@ -198,7 +200,7 @@
                 self.place = server
                 return [Hold(server)]
             case api.Release():
-                return self._let_go()
+                return self._let_go(keep=self.stage is Stage.OUT)
             case api.Refuse(_, after):
                 return self._final(ports.Refused(after))
             case api.Fail():
@@ -218,11 +220,15 @@
             self.stage = Stage.DONE
         return [] if self.gone else [Finish(final)]
 
-    def _let_go(self) -> list[Effect]:
+    def _let_go(self, keep: bool = False) -> list[Effect]:
+        """Release what is held; with ``keep`` an attempt is out that may wait for the state: it is named once more when
+        that has ended without a beginning."""
         if not self.reader and not self.place:
             return []
         effect = LetGo(self.reader, self.state, self.place, self.number)
-        self.reader, self.state, self.place = "", None, ""
+        self.place = ""
+        if not keep:
+            self.reader, self.state = "", None
         return [effect]
 
     def _let_go_place(self) -> list[Effect]:
--- a/stonetrack/soak/oracle.py
+++ b/stonetrack/soak/oracle.py
@@ -15,7 +15,7 @@
 
 from stonetrack.fleet.load import Seen
 from stonetrack.fleet.pulse import Waits
-from stonetrack.soak.engine_side import Arrival, End, Stay
+from stonetrack.soak.engine_side import Arrival, End, Kind, Stay
 from stonetrack.soak.nodes import Life
 
 MS = 1_000_000
@@ -29,6 +29,8 @@
 EVENT_SLACK = 300 * MS
 EVENTS_LATE_SHARE = 0.1  # of all streams that may have a late event
 OVERLAP_SLACK = 2 * MS  # two clocks are read one after the other
+LEASES = "/kv/leases/"
+LATE_CALL = 400 * MS  # from a request's sending to the passing on of its reservation: nobody waits for that any more
 REAPED = 300 * MS  # from a process's death to the harness's note of it
 COMING = 700 * MS  # after SIGTERM, in which what is taken has to be answered
 STOPPED_ANSWER = 3 * SECOND  # for a client that stops within a request
@@ -99,6 +101,7 @@
         self._evidence, self._terms = evidence, terms
         self._begun: dict[str, list[tuple[int, str, str, int]]] = defaultdict(list)  # when, node, engine, connection
         self._left: dict[int, int] = {}  # by connection: when the node left it
+        self._reserving: dict[tuple[str, str], list[tuple[int, int]]] = defaultdict(list)  # by request and engine
         self._answered: dict[int, list[int]] = defaultdict(list)  # by connection: when answers had passed whole
         self._connection: dict[tuple[str, int], int] = {}  # by engine and far port
         for record in evidence.log:
@@ -115,6 +118,9 @@
             case "begun":
                 begun = (record["t"], record["from"], record["to"], record["conn"])
                 self._begun[record["id"]].append(begun)
+            case "head" if record["method"] == "POST" and record["path"].startswith(LEASES):
+                key = (record["path"].removeprefix(LEASES), record["to"])
+                self._reserving[key].append((record["t"], record["conn"]))
             case "answer":
                 self._answered[record["conn"]].append(record["t"])
             case "left" | "close" | "reset":
@@ -214,6 +220,8 @@
     def _known_since(self, stay: Stay) -> int:
         """From when on the attempt that started a clock is over for its node: it is out until its answer has passed the
         link or the node has left it.  An answer that a cut link keeps ends nothing yet."""
+        if stay.kind is Kind.RESERVATION and (late := self._late_reservation(stay)):
+            return late
         for arrival in self._arrivals.get(stay.request, ()):
             if arrival.ended != stay.since or arrival.end is not End.ANSWERED:
                 continue
@@ -223,6 +231,20 @@
             return max(stay.since, min(known, stay.until or self._evidence.ended))
         return stay.since
 
+    def _late_reservation(self, stay: Stay) -> int:
+        """When the node could know of a reservation that was passed on long after it was asked for: its answer has
+        passed, or the node has left its connection.  0 for one that came in time."""
+        asked = [each for each in self._reserving.get((stay.request, stay.engine), ()) if each[0] <= stay.since]
+        begun = [at for at, *_ in self._begun.get(stay.request, ())]
+        if not asked:
+            return 0
+        came, connection = asked[-1]
+        if came - max((at for at in begun if at <= came), default=came) < LATE_CALL:
+            return 0
+        told = [at for at in self._answered.get(connection, ()) if at >= came]
+        known = min([*told, self._left.get(connection, 1 << 62)])
+        return max(stay.since, min(known, stay.until or self._evidence.ended))
+
     def _orphaned(self, stay: Stay) -> bool:
         """Whether the node that had the request was killed: nobody is left to release it."""
         name = self._node_of.get(stay.request, "")
--- a/stonetrack/soak/platform.py
+++ b/stonetrack/soak/platform.py
@@ -27,7 +27,7 @@
 REPORT = "TEXT inflight=1, queue=0, x0=0.1, x1=0.2"
 CHAT = "/v1/chat/completions"
 UNKNOWN_AFTER = 0.3  # seconds after which a reservation without a prefill attempt is answered as unknown
-FETCH = 0.01  # seconds in which a decode attempt fetches its state
+FULL_LATE_AFTER = 0.6  # seconds after which an engine turns away late: past the time for releases
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, no time
 BACKLOG = 256
 
@@ -40,6 +40,7 @@
     HANG_BEHIND = "hangs before the end of its answer"
     SLOW = "ten times slower"
     FULL = "turns away (503)"
+    FULL_LATE = "turns away late (503 after a while)"
     ERRORS = "answers 500"
     STATES_GONE = "says that states are gone (410)"
     RESETS = "resets before its answer"
@@ -238,7 +239,10 @@
             while True:
                 self._pause(sock, 60.0)
         self._hang(sock, Trouble.HANG_BEFORE)
-        if not self._turned_away(sock, arrival, fault, has_state):
+        late = self.trouble is Trouble.FULL_LATE
+        if late:
+            self._pause(sock, FULL_LATE_AFTER)
+        if not self._turned_away(sock, arrival, "503" if late else fault, has_state):
             self._pause(sock, self.world.work)
             self._hang(sock, Trouble.HANG_WITHIN)
             if self._failed(sock, arrival, fault):
--- a/tests/test_held_state.py
+++ b/tests/test_held_state.py
@@ -31,6 +31,17 @@
     assert not bed.router.requests and len(of(bed.actions, api.Release)) == 1
 
 
+@pytest.mark.parametrize("outcome", [api.Outcome.FULL, api.Outcome.ERROR, api.Outcome.RESET])
+def test_a_state_that_a_release_left_alone_is_released_when_its_attempt_fails(outcome: api.Outcome) -> None:
+    """The attempt had arrived and waited for it, so the release passed it over; then it was turned away."""
+    bed = Bed(HELD, FLEET)
+    send = bed.read(only(bed.ask("q"), api.Send))
+    bed.wait(BY_NOW)
+    got = bed.end(send, outcome, 1)
+    again = only(got, api.Send)
+    assert again.server[0] == "r" and got.index(only(got, api.Release)) < got.index(again)
+
+
 def test_a_reservation_whose_answer_never_came_is_released_with_its_prefill_attempt() -> None:
     """An engine that answers for a reservation has seen the prefill attempt; without a word neither may have arrived.
     A release alone would take what the attempt reads, so the attempt ends with it and the prompt is read elsewhere."""
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -246,3 +246,15 @@
             life.attempt(ports.Over(api.Outcome.NOT_SENT), 1)
         got = life.command(api.HoldPlace("q", "w0"), 2)
         assert got == ([Hold("w0")] if sent else []) and life.place == ("w0" if sent else "")
+
+
+def test_a_release_behind_an_attempt_is_said_again_when_that_has_ended_without_a_beginning() -> None:
+    for began in (True, False):
+        life = Life(ports.Ask("q", 0, "s", 3 * SECOND, 1_000, {}), SECOND)
+        life.command(api.Send("q", "r0"), 0)
+        life.attempt(ports.Over(api.Outcome.READ, state={"at": "r0"}), 1)
+        life.command(api.Send("q", "w0"), 2)
+        behind = LetGo("r0", {"at": "r0"}, "", 1)
+        assert life.command(api.Release("q"), 3) == [behind]
+        life.attempt(ports.Began() if began else ports.Over(api.Outcome.FULL), 4)
+        assert life.command(api.Release("q"), 5) == ([] if began else [behind])
