--- a/stonetrack/fleet/load.py
+++ b/stonetrack/fleet/load.py
@@ -74,6 +74,7 @@
     retry: int
     worth: float
     sent: int = 0
+    wrote: int = 0  # when the kernel had taken the request: later than ``sent`` where the client was held up
     deadline: int = 0
     aim: int = 0
     status: int = 0
@@ -220,6 +221,7 @@
         try:
             self.sock.settimeout(planned.patience + LONGEST_SILENCE)
             self.sock.sendall(request)
+            seen.wrote = time.monotonic_ns()
             self._answer(planned, seen, stream)
         except _Left:
             seen.ended = "left"
--- a/stonetrack/soak/platform.py
+++ b/stonetrack/soak/platform.py
@@ -60,11 +60,17 @@
     request: str
 
 
-def listen(port: int = 0, backlog: int = BACKLOG) -> socket.socket:
-    """A listening socket on loopback."""
+def bound(port: int = 0) -> socket.socket:
+    """A socket that has a port of loopback and does not listen: another with the same option still may (socket(7))."""
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", port))
+    return sock
+
+
+def listen(port: int = 0, backlog: int = BACKLOG) -> socket.socket:
+    """A listening socket on loopback."""
+    sock = bound(port)
     sock.listen(backlog)
     return sock
 
@@ -187,7 +193,7 @@
     def _reserve(self, sock: socket.socket, request: str) -> None:
         time.sleep(self.place_delay)
         self.world.note("place", self.name, request)
-        end = time.monotonic() + UNKNOWN_AFTER
+        end = time.monotonic() + self.world.unknown_after
         known = False
         while not known and time.monotonic() < end:
             with self.world.lock:
@@ -359,6 +365,7 @@
         self.bodies: dict[str, bytes] = {}
         self.left: dict[str, str] = {}
         self.work, self.pause, self.events = 0.005, 0.005, 5
+        self.unknown_after = UNKNOWN_AFTER
         self.cached = 16  # tokens that every read is said to have found kept
         self.rev = 1
         names = [*(f"r{n}" for n in range(readers)), *(f"w{n}" for n in range(writers))]
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 import re
+import socket
 import threading
 import time
 from collections import defaultdict
@@ -22,7 +23,7 @@
 from stonetrack.soak.faults import Fault, Kind, draw
 from stonetrack.soak.nodes import Node, Use
 from stonetrack.soak.oracle import Evidence, Lateness, Oracle, Terms, Violation
-from stonetrack.soak.platform import Platform, listen
+from stonetrack.soak.platform import Platform, bound
 from stonetrack.standin.tap import Tap, read
 
 MS = 1_000_000
@@ -160,6 +161,7 @@
         engines = self.world.engines.values()
         prefill, decode = ([e.name for e in engines if e.decodes is decodes] for decodes in (False, True))
         self.faults = draw(seed, size.seconds, size.nodes, prefill, decode) if faults is None else faults
+        self._holders: list[socket.socket] = []  # nodes' ports are taken, also while their processes are away
         self.nodes = [self._node(number, trace) for number in range(size.nodes)]
         self._watch_faults: dict[int, list[tuple[int, int]]] = defaultdict(list)
         self._troubled: dict[str, list[tuple[int, int]]] = defaultdict(list)
@@ -178,8 +180,9 @@
         self.world.endpoint = lambda node, name: self._engine_links[node, name].address
 
     def _node(self, number: int, trace: bool) -> Node:
-        with listen() as taken:
-            port: int = taken.getsockname()[1]
+        holder = bound()
+        self._holders.append(holder)
+        port: int = holder.getsockname()[1]
         told = settings(self.size.nodes, number)
         data = self.world.configuration(
             f"n{number}", number, port, self._agent_links[number].address, told, sockets=512
@@ -214,6 +217,8 @@
             self.links.stop()
             self.world.close()
             self._starter.shutdown()
+            for holder in self._holders:
+                holder.close()
 
     def _start(self, node: Node) -> None:
         self._starter.submit(node.start).result()
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -35,6 +35,7 @@
 
     def __init__(self, readers: int, writers: int) -> None:
         super().__init__(readers, writers)
+        self.unknown_after = 0.02  # a test waits for no more than it looks at
         self.listen = free_port()
 
     @property
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -164,6 +164,36 @@
     echo.listener.close()
 
 
+def test_open_connections_fall_silent_alone_and_new_ones_never_come_up(links: Links) -> None:
+    echo = Echo()
+    link = links.add("a", "b", ("127.0.0.1", echo.port))
+    first = connect(link.port)
+    first.sendall(b"one")
+    assert first.recv(10) == b"one"
+    links.silence_open(link)
+    first.sendall(b"two")
+    second = connect(link.port)
+    second.sendall(b"three")
+    assert second.recv(10) == b"three"
+    first.settimeout(0.1)
+    with pytest.raises(TimeoutError):
+        first.recv(10)
+    links.speak_again(link)
+    first.settimeout(5.0)
+    assert first.recv(10) == b"two"
+    links.unreachable(link, True)
+    links.change(link, delay=0)  # another fault ends meanwhile: still nobody listens
+    with pytest.raises(TimeoutError):
+        socket.create_connection(("127.0.0.1", link.port), timeout=0.3)
+    second.sendall(b"open ones go on")
+    assert second.recv(30) == b"open ones go on"
+    links.unreachable(link, False)
+    third = connect(link.port)
+    third.sendall(b"four")
+    assert third.recv(10) == b"four"
+    echo.listener.close()
+
+
 def test_a_shared_link_cuts_and_refuses_one_source_alone(links: Links) -> None:
     echo = Echo()
     link = links.add("node", "e:r0", ("127.0.0.1", echo.port), shared=True)
