The test of errors at close waits for the client's connection to be closed

The only close in its window is that of the client's connection, which another thread makes once it has read the end, often after the window. The window now lasts until that connection is closed, which is also asserted.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -173,6 +173,8 @@
                 status = one(world, f"q{at}")
                 where = f"{call.value} {named(code)} at call {at}"
                 judge(world, made, faulty, status, where)
+                # The client's connection is closed when its end is read, by another thread: that call is one of them.
+                assert wait_for(lambda: made.host.connections == 0), f"{where}: the client's connection stayed open"
                 peer = code != SHORT and meaning(call, OSError(code, "")) is Meaning.PEER
                 assert peer or status == 200, f"{where}: one passing error, and answered {status}"
             if not faulty.fired or (call is Call.ACCEPT and at > 2):
