--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -186,7 +186,7 @@
                 if asked.passed and not let_go and status not in _NOT_HELD:
                     self._late.add(request)
             if let_go:
-                self._add(request)
+                self._add(request, again=True)
             elif status in (200, 409):
                 answer(status == 200)
 
@@ -211,7 +211,7 @@
             if needed and request in self._under_way:
                 self._late.add(request)
                 return
-        self._add(request)
+        self._add(request, again=True)
 
     def _drop_hold(self, request: str, let_go: bool) -> None:
         """Take back a place not asked for yet; of one that is being asked for, note what follows its answer."""
@@ -236,7 +236,7 @@
             self._late.discard(request)
             self._under_way.discard(request)
         if late:
-            self._add(request)
+            self._add(request, again=True)
 
     # Releases.
 
@@ -246,10 +246,14 @@
         self._drop_hold(request, let_go=True)
         self._add(request)
 
-    def _add(self, request: str) -> None:
+    def _add(self, request: str, again: bool = False) -> None:
+        """Owe a release.  ``again`` is for what came about just now: a release that is open already may have passed it,
+        so that one is no longer waited for and another begins."""
         with self._releasing.changed:
+            book = self._releasing.book
+            if again and request in self._open:
+                book.done(self._open.pop(request))
             if request not in self._open:
-                book = self._releasing.book
                 self._open[request] = book.add(Item(request, "", 0, None, self._clock()))
                 if len(self._open) > 2 * book.most:  # the book dropped releases that were never tried
                     self._open = {name: number for name, number in self._open.items() if number in book}
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -28,7 +28,7 @@
 from stonetrack.logic import MS, SECOND
 from stonetrack.node.invariants import Invariant
 from stonetrack.node.ports import Ask, Over
-from stonetrack.wire import writer
+from stonetrack.wire import http1, writer
 from tests.platform import CHAT, REPORT, Platform, ask, at_rest, headers, node, platform, program
 from tests.rig import Client, wait_for
 
@@ -227,6 +227,33 @@
         assert wait_for(lambda: at_rest(made)) and not world.held
 
 
+def test_a_release_that_may_have_passed_a_reservation_is_followed_by_another() -> None:
+    """Seen in the soak: the release was heard after the reservation's answer and carried out before the reservation."""
+    passed, answered, released = threading.Event(), threading.Event(), [0]
+
+    class Crossing(Calls):
+        def call(self, engine: hosts.Engine, message: bytes, timeout: float, late: Late = None) -> Answer:
+            if message.startswith(b"POST"):
+                passed.wait(2.0)
+                answered.set()
+                return Answer(http1.ResponseHead(200, "", http1.Headers(), True, 0), b"", False)
+            released[0] += 1
+            passed.set()
+            answered.wait(2.0)
+            time.sleep(0.05)
+            return Answer(http1.ResponseHead(204, "", http1.Headers(), True, 0), b"", False)
+
+    pool = Pool(4, 60.0)
+    leases = Leases(Crossing(pool, time.monotonic_ns, 0.25), time.monotonic_ns, 500 * MS)
+    leases.list_changed({"w0": hosts.Engine("w0", "127.0.0.1", 1, api.Role.WRITER, True)})
+    leases.start()
+    leases.hold("q", "w0", lambda held: None)
+    time.sleep(0.05)  # it is being asked for
+    leases.release("q")
+    assert wait_for(lambda: released[0] == 2 and not leases.open)
+    leases.stop()
+
+
 def test_a_reservation_that_is_made_late_is_released_when_its_answer_comes() -> None:
     """Its bytes lay in a queue of an engine that stood still, and nobody waited for the answer any more."""
     with platform(1, 1) as world, node(world) as made:
