--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -185,9 +185,8 @@
     expected: float = 0.0  # time to the first token as last estimated, as a share of the aim
     reader: str = ""  # where a state waits
     place: str = ""  # writer asked to hold a place
-    place_open: bool = False  # that writer has not answered: the read out is not known to have arrived
     holds: bool = False  # a state or place may be held somewhere: released on every path but a first token
-    stands_since: int = 0  # when the last attempt known to have arrived ended, or a place was asked for
+    stands_since: int = 0  # when the last attempt that is known to have arrived ended: a state waits since then
     failed: tuple[str, ...] = ()  # servers not to be tried again while others are up
     eased: tuple[str, ...] = ()  # servers in slow start that it was sent to: never again, so that their budget holds
     pair: tuple[str, ...] = ()  # readers that were asked for their reports before the first send
@@ -244,8 +243,8 @@
         elif (request := self.requests.get(event.request)) is not None:
             if isinstance(event, api.RequestGone) and request.phase is not Phase.ENDED:
                 self._end(request)
-            elif isinstance(event, api.PlaceAnswer) and request.place == event.server:
-                self._place_answered(request, event.held)
+            elif isinstance(event, api.PlaceAnswer) and request.place == event.server and not event.held:
+                self._drop_place(request)
         if not self.timer_set and (self.held or self.out or self.subscribe_at):
             self.timer_set = True
             self.actions.append(api.SetTimer(0, SWEEP))
@@ -713,46 +712,30 @@
             beside = [s for s in self.pools[Role.WRITER] if s.cell == writer.cell and s is not writer]
             self.actions += [api.Probe(s.name) for s in [writer, *beside[:1]] if self._warm(s)]
         if self.settings.may_hold_place:
-            request.place, request.holds, request.place_open = writer.name, True, True
-            request.stands_since = self.now
+            request.place, request.holds = writer.name, True
             writer.streams += 1
             self.actions.append(api.HoldPlace(request.name, writer.name))
 
-    def _place_answered(self, request: Request, held: bool) -> None:
-        """Either answer is given on a read that is out there: it has arrived."""
-        request.place_open = False
-        if not held:
-            self._drop_place(request)
-
     def _stands_too_long(self, request: Request) -> bool:
         """Whether what is held has to go now, if the release is to be heard within the time allowed."""
         return self.now - request.stands_since > RELEASE_SHARE * self.settings.release_within
 
     def _let_go_unproven(self, request: Request) -> None:
-        """Let go of what is held behind an attempt that is not known to have arrived.
+        """Let go of a state behind an attempt at a writer that is not known to have arrived.
 
-        Exception (silent send): bytes that a kernel took may reach nobody, and what was held for their attempt would
-        stand until that ends.  Acts where no answer shows an arrival in time: behind a send to a writer the state is
-        released and the attempt stays out, since a release leaves alone what an attempt waits for; a read whose place
-        nobody answered for is taken back, since a release would take what it reads.  Could cost a second read: of a
-        prompt whose attempt fails later, or whose writer did not answer for the place."""
+        Exception (silent send): bytes that a kernel took may reach nobody, and the state held for their attempt would
+        stand until that ends.  Acts where no answer shows an arrival in time; the attempt stays out, since a release
+        leaves alone what an attempt waits for.  Could cost a second read, where the attempt fails after that."""
         if not self._stands_too_long(request):
             return
         if request.writing and request.reader:
             self._release(request)
             request.holds = True  # what the attempt waits for, if it has arrived: let go of when that ends otherwise
-        elif not request.writing and request.place_open:
-            request.place_open = False
-            if self.settings.may_cancel and request.phase is not Phase.ENDED:
-                request.due = float("inf")
-                self.actions.append(api.Cancel(request.name, request.attempts))
-            else:
-                self._release(request)
 
     def _drop_place(self, request: Request) -> None:
         if (writer := self.servers.get(request.place)) is not None:
             writer.streams -= 1
-        request.place, request.place_open = "", False
+        request.place = ""
 
     def _release(self, request: Request) -> None:
         """Let go of the state and the place held for a request, if any."""
