--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -124,8 +124,13 @@
 
     @property
     def open(self) -> int:
-        """Releases not heard yet, places being asked for, and calls that may be carried out yet."""
-        return len(self._releasing) + len(self._holding) + len(self._late_answers)
+        """Releases not heard yet and places being asked for."""
+        return len(self._releasing) + len(self._holding)
+
+    @property
+    def unsettled(self) -> int:
+        """Those, and calls that may be carried out yet."""
+        return self.open + len(self._late_answers)
 
     def wait(self, seconds: float) -> bool:
         """Let open releases end for so many seconds; whether all did."""
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -47,7 +47,7 @@
 SILENCE = 4 * SECOND + SECOND // 2  # a stream without an event for so long has broken
 STALL = 10 * SECOND  # a client that takes nothing for so long has gone
 COMING = 0.55  # seconds after TERM in which clients still come (0.2 to 0.4 by the protocol); 0.7 are too many
-LAST_RELEASES = 2.5  # seconds after the last answer in which releases may still be heard, before the process ends
+LAST_RELEASES = 2.0  # seconds after the last answer in which releases may still be heard, before the host is sealed
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 
 
@@ -239,9 +239,15 @@
         self.host.leave()
         time.sleep(COMING)
         self.host.drain(sweep=True)
+        while self.core.open_requests:
+            time.sleep(0.02)
+        # What still comes is read and answered meanwhile: a sealed host would leave it to the end of the process.
+        until = time.monotonic() + LAST_RELEASES
+        while self.leases.unsettled and time.monotonic() < until:
+            time.sleep(0.02)
         while self.core.open_requests or not self.host.seal():
             time.sleep(0.02)
-        self.leases.wait(LAST_RELEASES)
+        self.leases.wait(1.0)
 
 
 def run(environ: Mapping[str, str]) -> int:
