The soak's books and evidence lose what nobody reads

Cause: on reading the whole change again, EngineSide.given_up had no caller and Evidence.ports no reader. Both are taken out; behaviour stays.

--- a/stonetrack/soak/engine_side.py
+++ b/stonetrack/soak/engine_side.py
@@ -102,10 +102,6 @@
             request.held.append(_Held(Kind.STATE, arrival.engine, 0))
         self._start_clocks(request, at)
 
-    def given_up(self, arrival: Arrival, at: int) -> None:
-        """The node has closed the connection of an attempt that its engine still runs."""
-        self.ended(arrival, at, End.GIVEN_UP)
-
     def read(self, arrival: Arrival, at: int) -> bool:
         """A prefill attempt has read its prompt: its state waits.  False where a release had come meanwhile."""
         request = self._requests[arrival.request]
--- a/stonetrack/soak/oracle.py
+++ b/stonetrack/soak/oracle.py
@@ -86,7 +86,6 @@
     told: dict[int, list[tuple[int, int]]]  # by node: when a version was written to it, and which
     watch_faults: dict[int, list[tuple[int, int]]]  # by node: when its watch or agent was silent
     lives: dict[int, list[Life]]  # by node
-    ports: dict[int, int]  # node by the port that its clients connect to
     lateness: Lateness
     ended: int
     troubled: dict[str, list[tuple[int, int]]] = field(default_factory=dict)  # by engine: when it or its links were ill
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -404,7 +404,6 @@
                 {agent.node: list(agent.told) for agent in self.world.agents},
                 dict(self._watch_faults),
                 {node.number: node.lives for node in self.nodes},
-                {node.port: node.number for node in self.nodes},
                 lateness,
                 ended,
                 dict(self._troubled),
