--- a/stonetrack/edge/abandoned.py
+++ b/stonetrack/edge/abandoned.py
@@ -200,7 +200,7 @@
         debt.due, debt.left, debt.asked = debt.told_at, INFORMED, False
 
     def _look(self, now: int) -> None:
-        """Release what is due; debts that are paid go."""
+        """Release what is due; debts that are paid go.  Owed: ``Obligation.ABANDONED_READ``."""
         while self._answers:
             self._heard(*self._answers.popleft(), now)
         for number, debt in list(self._book.debts.items()):
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -95,7 +95,9 @@
         return not self.open
 
     def settle(self, request: str) -> Settled:
-        """A new attempt has its connection: see that what was decided before comes before it, or not at all."""
+        """A new attempt has its connection: see that what was decided before comes before it, or not at all.
+
+        Owed: ``Obligation.RELEASE``."""
         if request not in self._open:
             return Settled.NOTHING
         with self._releasing.changed:
@@ -121,7 +123,7 @@
             del self._open[item.request]
 
     def try_any(self, item: Item) -> Heard:
-        """One try of a release, at the engine that is likeliest to hear it."""
+        """One try of a release, at the engine that is likeliest to hear it.  Owed: ``Obligation.RELEASE``."""
         engines = list(self._engines.values())
         engine = pick(engines, self._calls.heard, self._calls.suspects, self._clock(), item.tried)
         if engine is None:
--- a/stonetrack/edge/watch.py
+++ b/stonetrack/edge/watch.py
@@ -31,7 +31,9 @@
 
 
 class Watch:
-    """``take`` gets each document and whether it is the first of a connection; ``rev`` tells the version held."""
+    """``take`` gets each document and whether it is the first of a connection; ``rev`` tells the version held.
+
+    Owed: ``Obligation.TOLD_CHANGE``."""
 
     def __init__(
         self,
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -176,6 +176,8 @@
         Our side is closed first; an engine that lives closes its own at once, and that is waited for, so the order
         of the two attempts holds at both engines whatever the ways between.  One that does not is reset, or watched by
         whoever takes abandoned attempts over.
+
+        Owed: ``Obligation.ATTEMPT``.
         """
         if (sock := self._sock) is None:
             return
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -650,7 +650,7 @@
         return rate > 0.0 and left < 1.0
 
     def _advance(self, request: Request) -> None:
-        """Move on a request that has no attempt out: send it, hold it, or end it."""
+        """Move on a request that has no attempt out: send it, hold it, or end it.  Owed: ``Obligation.STATE``."""
         left = request.deadline - self.now
         whole = self.pools[Role.MIXED] or (self.settings.writers_read and self.pools[Role.WRITER])
         steps = 1 if request.reader or whole else 2
@@ -704,7 +704,9 @@
 
         No reservation is asked for, also where the settings allow it: nothing that a writer answers tells whether the
         read has arrived, so what it holds could only be let go of in time by taking reads back (docs/obligations.md
-        has what that costs, and that reservations earned nothing that could be measured)."""
+        has what that costs, and that reservations earned nothing that could be measured).
+
+        Owed: ``Obligation.RESERVATION``."""
         if not self.by_probe:
             return
         writer = self._choose_writer(request, cell)
@@ -722,7 +724,9 @@
 
         Exception (silent send): bytes that a kernel took may reach nobody, and the state held for their attempt would
         stand until that ends.  Acts where no answer shows an arrival in time; the attempt stays out, since a release
-        leaves alone what an attempt waits for.  Could cost a second read, where the attempt fails after that."""
+        leaves alone what an attempt waits for.  Could cost a second read, where the attempt fails after that.
+
+        Owed: ``Obligation.STATE``."""
         if not self._stands_too_long(request):
             return
         if request.writing and request.reader:
@@ -859,6 +863,9 @@
             del self.requests[request.name]
 
     def _give_up(self, request: Request) -> None:
+        """End a request that no engine answered: refused where a retry is harmless, else failed.
+
+        Owed: ``Obligation.ANSWER``."""
         after = min(self.settings.max_retry_after, SECOND // 2) if self.settings.may_advise_retry else 0
         answer = api.Refuse(request.name, after) if self._may_refuse(request) else api.Fail(request.name)
         self.actions.append(answer)
@@ -889,7 +896,9 @@
         """An attempt is late: take it back while there is time for another.
 
         Covers hung and silent servers and answers that are lost.  In an overload all are late: calls off
-        are paid for by timely outcomes, so that work is not doubled then."""
+        are paid for by timely outcomes, so that work is not doubled then.
+
+        Owed: ``Obligation.ATTEMPT``."""
         if self._asks() and not request.writing and self._warm(server):
             # Exception (busy): engines read on after a call off: a reader that tells of work is waited for.
             # Guards against calls off of all routers at once; could wait for one that hangs with work queued.
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -128,6 +128,8 @@
 
         A send decided just before a list told of a drain may not have been written yet; it is asked here again,
         and taken back as not sent, so that the grace is kept however long connecting took.
+
+        Owed: ``Obligation.TOLD_CHANGE``.
         """
         return server not in self._closed
 
--- a/stonetrack/node/invariants.py
+++ b/stonetrack/node/invariants.py
@@ -97,7 +97,9 @@
         return self._out < 0 and not self._held_since and (self._answered or self._gone_at > 0)
 
     def may_begin(self, client_left: bool, engine_closed: bool) -> Refusal | None:
-        """The one guard in front of every attempt's first byte: why it may not begin, None where it may."""
+        """The one guard in front of every attempt's first byte: why it may not begin, None where it may.
+
+        Owed: ``Obligation.ATTEMPT``, ``Obligation.TOLD_CHANGE``."""
         if client_left or self._gone_at:
             return Refusal.CLIENT_GONE
         if self._answered:
@@ -107,7 +109,7 @@
         return Refusal.ENGINE_CLOSED if engine_closed else None
 
     def note(self, step: Transition) -> list[Violation]:
-        """Take one step; the invariants that it breaks."""
+        """Take one step; the invariants that it breaks.  Owed: ``Obligation.RELEASE``."""
         found = self.check(step.at)
         match step.step:
             case Step.SENT:
@@ -132,7 +134,9 @@
         return found
 
     def check(self, now: int) -> list[Violation]:
-        """The invariants that time alone has broken by now, each told once."""
+        """The invariants that time alone has broken by now, each told once.
+
+        Owed: ``Obligation.ANSWER``, ``Obligation.STATE``."""
         found = []
         since = self.held_since
         if since and now - since > self._held_limit and not self._held_told:
--- a/stonetrack/node/life.py
+++ b/stonetrack/node/life.py
@@ -308,7 +308,9 @@
         return True
 
     def time(self, now: int) -> list[Effect]:
-        """Time has passed: end an attempt that has had its time, or a stream that fell silent."""
+        """Time has passed: end an attempt that has had its time, or a stream that fell silent.
+
+        Owed: ``Obligation.ANSWER``, ``Obligation.ATTEMPT``."""
         if not self.due() or now < self.due():
             return []
         silent = self.stage is Stage.STREAMING and now >= self.silent_at
--- a/stonetrack/soak/engine_side.py
+++ b/stonetrack/soak/engine_side.py
@@ -108,7 +108,9 @@
         self._start_clocks(request, at)
 
     def read(self, arrival: Arrival, at: int) -> bool:
-        """A prefill attempt has read its prompt: its state waits.  False where a release had taken it meanwhile."""
+        """A prefill attempt has read its prompt: its state waits.  False where a release had taken it meanwhile.
+
+        Owed: ``Obligation.ABANDONED_READ``."""
         request = self._requests[arrival.request]
         if arrival not in request.reading:
             return False
@@ -120,14 +122,16 @@
         return True
 
     def reserve(self, request: str, engine: str, at: int) -> None:
-        """A reservation is made; an earlier one elsewhere is given up."""
+        """A reservation is made; an earlier one elsewhere is given up.  Owed: ``Obligation.RESERVATION``."""
         known = self._requests.setdefault(request, _Request())
         for held in [held for held in known.held if held.kind is Kind.RESERVATION]:
             known.held.remove(held)
         known.held.append(_Held(Kind.RESERVATION, engine, 0 if known.out else at))
 
     def release(self, request: str, at: int, takes_reads: bool = True) -> None:
-        """All that no attempt waits for is released, with ``takes_reads`` also what prefill attempts will leave."""
+        """All that no attempt waits for is released, with ``takes_reads`` also what prefill attempts will leave.
+
+        Owed: ``Obligation.RELEASE``."""
         known = self._requests.get(request)
         if known is None:
             return
@@ -147,7 +151,7 @@
                 request.held.remove(held)
 
     def still_held(self) -> list[Stay]:
-        """What is held with its clock running."""
+        """What is held with its clock running.  Owed: ``Obligation.STATE``."""
         return [
             Stay(name, held.kind, held.engine, held.since, 0)
             for name, request in self._requests.items()
--- a/stonetrack/soak/oracle.py
+++ b/stonetrack/soak/oracle.py
@@ -159,6 +159,7 @@
         return False
 
     def _answers(self) -> list[Violation]:
+        """Requests without one final answer in their time.  Owed: ``Obligation.ANSWER``."""
         found = []
         for seen in self._evidence.seen:
             if why := self._not_answered(seen):
@@ -194,6 +195,7 @@
         return min(ended, self._left.get(connection, ended))
 
     def _effects(self) -> list[Violation]:
+        """Attempts that overlap, and second effects.  Owed: ``Obligation.ATTEMPT``."""
         found = []
         unsafe = {seen.request for seen in self._evidence.seen if seen.cls in self._terms.unsafe}
         for request, arrivals in self._arrivals.items():
@@ -213,6 +215,9 @@
     # 3: what is held is taken or released.
 
     def _held(self) -> list[Violation]:
+        """What was held for too long, whoever held it and whatever the node was told.
+
+        Owed: ``Obligation.STATE``, ``Obligation.RESERVATION``, ``Obligation.ABANDONED_READ``."""
         found = []
         for stay in self._evidence.stays:
             since, until = self._known_since(stay), stay.until or self._evidence.ended
@@ -288,6 +293,7 @@
         return max([written, *(since + WATCH_SILENT_FOR for since, _ in silent if since <= written)])
 
     def _drains(self) -> list[Violation]:
+        """Attempts at engines that a node had been told not to use.  Owed: ``Obligation.TOLD_CHANGE``."""
         found = []
         spans: dict[str, list[tuple[int, int, int]]] = defaultdict(list)  # closed from, version, open again at
         for n, (at, version, engine, state) in enumerate(self._evidence.changes):
