--- a/stonetrack/edge/abandoned.py
+++ b/stonetrack/edge/abandoned.py
@@ -109,7 +109,7 @@
         self._most, self._most_watched = most, most_watched
         self._book = _Book()
         self._asked: dict[int, _Debt] = {}  # by number of the release that its engine is asked to answer
-        self._engines: dict[str, Engine] = {}  # those that are owed something, or were
+        self._engines: dict[str, Engine] = {}  # those that are owed something; emptied when nothing is
         self._answers: deque[tuple[_Debt, bool]] = (
             deque()
         )  # releases answered since the last look; after a while or not
@@ -213,6 +213,8 @@
             elif debt.paid:
                 del self._book.debts[number]
                 self.counts.paid += 1
+        if not self._book.debts:
+            self._engines.clear()
 
     def _release_now(self, debt: _Debt, now: int) -> None:
         asks = not debt.asked
@@ -255,7 +257,10 @@
             self._releasing.changed.notify_all()
 
     def _carry(self, item: Item) -> Heard:
-        return self._ask(self._engines[item.server], item.request) if item.server else self._release(item)
+        if not item.server:
+            return self._release(item)
+        engine = self._engines.get(item.server)
+        return Heard.DONE if engine is None else self._ask(engine, item.request)  # none: its debts were dropped
 
     def _over(self, number: int, item: Item) -> None:
         if (debt := self._asked.pop(number, None)) is not None:
