--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -19,7 +19,10 @@
 from stonetrack.engines.releases import Heard, Item
 from stonetrack.node.invariants import ARRIVING, MS, Ledger
 from stonetrack.node.transitions import Step, Transition
-from tests.rig import wait_for
+from stonetrack.soak.latitude import KINDEST, Latitude, Sentence
+from stonetrack.soak.platform import Trouble
+from tests.platform import headers, node, platform
+from tests.rig import Client, wait_for
 
 WITHIN = 100 * MS  # so that a test of several releases lasts for less than a second
 
@@ -188,3 +191,27 @@
     steps: tuple[tuple[int, Step, int, bool, Outcome | None], ...], at: int, needed: bool
 ) -> None:
     assert ledger(*steps).needs_state(at * MS) is needed
+
+
+def test_a_leaving_node_waits_for_what_a_read_may_leave_as_long_as_the_page_gives() -> None:
+    """Its engine comes back 2.7 s after TERM, finishes a read that was given up, and would hold its state for good."""
+    with platform(2, 1) as world, node(world) as made:
+        world.latitude = Latitude(0, {**KINDEST, Sentence.GIVEN_UP: True, Sentence.RELEASE_INTO_READ: False})
+        for name in ("r0", "r1"):
+            world.engines[name].trouble = Trouble.HANG_BEFORE
+        client = Client(world.listen)
+        client.ask(b"{}", headers=headers("q"))
+        assert wait_for(lambda: any(what == "read" for what, _ in world.which("q")))
+        client.close()
+        assert wait_for(lambda: len(made.abandoned) == 1)
+        began = time.monotonic()
+        leaving = threading.Thread(target=made.drain)
+        leaving.start()
+        time.sleep(2.7)
+        for name in ("r0", "r1"):
+            world.engines[name].trouble = None
+        leaving.join(5.0)
+        assert time.monotonic() - began < 3.0 + 0.7, "it is killed by then"
+        assert not world.held
+        with world.lock:
+            assert [stay.engine in ("r0", "r1") for stay in world.books.stays] == [True], "the read left a state"
