--- a/stonetrack/edge/abandoned.py
+++ b/stonetrack/edge/abandoned.py
@@ -41,7 +41,8 @@
 BLIND, INFORMED = 3, 2  # releases after a moment from which on the engine may have left a state
 FIRST_SHARE = 0.6  # of the settings' time until the first of them behind a giving up, which has had a release itself
 KNOWN_SHARE = 0.7  # of the settings' time for which a state that is known to be there waits for another attempt
-THREADS = 3
+THREADS = 4
+ASK_PAUSE = 2 * SECOND  # at most, between two tries at an engine that is away: each leaves a connection there
 
 
 @dataclass(slots=True, eq=False)
@@ -116,7 +117,7 @@
         self._changed = threading.Condition(threading.Lock())
         self._stopping = False
         self.counts = Counts()
-        self._releasing = Releasing(clock, within, THREADS, self._carry, self._over, log=log)
+        self._releasing = Releasing(clock, ASK_PAUSE, THREADS, self._carry, self._over, log=log)
         self._thread = lasting("abandoned-reads", self._run, log)
 
     def __len__(self) -> int:
--- a/stonetrack/edge/leases.py
+++ b/stonetrack/edge/leases.py
@@ -27,7 +27,8 @@
 from stonetrack.wire import writer
 
 PATH = "/kv/leases/"
-RELEASE_TIMEOUT = 0.12  # seconds
+RELEASE_TIMEOUT = 0.12  # seconds; where any engine may answer, the next is tried after that
+ASK_TIMEOUT = 1.0  # seconds; one that stands still answers what lies there once it goes on
 SETTLE = 0.3  # seconds for which an attempt waits for an older release of its request: two tries of it
 
 
@@ -129,7 +130,7 @@
         if engine is None:
             return Heard.AGAIN
         try:
-            return self._call(engine, item.request, item.decided)
+            return self._call(engine, item.request, item.decided, RELEASE_TIMEOUT)
         except OSError as error:
             self._note(item.request, Step.RELEASE_UNHEARD, engine.name, why=str(error), decided=item.decided)
             return Heard.AGAIN  # the next try goes to another engine
@@ -138,16 +139,16 @@
         """One try of a release at one engine, at its present address."""
         listed = self._engines.get(engine.name)
         try:
-            return self._call(listed or engine, request, self._clock())
+            return self._call(listed or engine, request, self._clock(), ASK_TIMEOUT)
         except ConnectionRefusedError:
             return Heard.DONE  # its process is gone, with all that it held
         except OSError:
             return Heard.GONE if listed is None else Heard.AWAY
 
-    def _call(self, engine: Engine, request: str, decided: int) -> Heard:
+    def _call(self, engine: Engine, request: str, decided: int, timeout: float) -> Heard:
         """One call.  Raises OSError."""
         message = writer.request("DELETE", PATH + request, [("Host", f"{engine.host}:{engine.port}")], None)
-        status = self._calls.call(engine, message, RELEASE_TIMEOUT).head.status
+        status = self._calls.call(engine, message, timeout).head.status
         heard = Step.RELEASE_HEARD if status < 500 else Step.RELEASE_UNHEARD
         self._note(request, heard, engine.name, why=str(status), decided=decided)
         return Heard.DONE if status < 500 else Heard.AGAIN
