--- a/stonetrack/edge/abandoned.py
+++ b/stonetrack/edge/abandoned.py
@@ -9,8 +9,9 @@
   that refuses connections has lost its process, and all that it held.
 - From each of these moments on (given up, heard on the connection, release answered late) releases follow one another
   within the settings' time, so that a state which the engine finishes meanwhile is let go of in time: ``BLIND`` of
-  them, ``INFORMED`` where the engine is there to be heard.  They have threads of their own: when many engines come
-  back at once, they keep no release waiting that a request under way has to have heard.
+  them, ``INFORMED`` where the engine is there to be heard.  A blind one is tried once: where all engines are slow, what
+  is only a precaution may not add to their load.  They have threads of their own: when many engines come back at
+  once, they keep no release waiting that a request under way has to have heard.
 
 A debt ends when its connection has ended, its engine has answered a release and the last release was sent.  A release
 would also take what another attempt of the request is reading, so it waits while one needs what is held, but no longer
@@ -38,7 +39,7 @@
 MOST = 1_024  # debts; past that the oldest are dropped
 KEPT_FOR = 60 * SECOND  # a connection on which nothing came for so long is closed
 LOOK = 0.05  # seconds from one look at the debts to the next
-BLIND, INFORMED = 3, 2  # releases after a moment from which on the engine may have left a state
+BLIND, INFORMED = 2, 2  # releases after a moment from which on the engine may have left a state
 FIRST_SHARE = 0.6  # of the settings' time until the first of them behind a giving up, which has had a release itself
 KNOWN_SHARE = 0.7  # of the settings' time for which a state that is known to be there waits for another attempt
 THREADS = 4
@@ -65,6 +66,13 @@
         return self.sock is None and self.answered and self.left == 0
 
 
+@dataclass(slots=True)
+class _Release(Item):
+    """One release, tried until it is heard or ``once``."""
+
+    once: bool = False
+
+
 @dataclass(slots=True)
 class Counts:
     """For the node's metrics."""
@@ -221,9 +229,9 @@
         asks = not debt.asked
         if asks:
             debt.asked = True
-            self._add(debt, debt.engine.name, now)
+            self._add(debt, debt.engine.name, now, once=False)
         if not asks or not debt.told_at:
-            self._add(debt, "", now)
+            self._add(debt, "", now, once=not debt.told_at)
         debt.left -= 1
         debt.due = now + self._within
 
@@ -249,17 +257,18 @@
 
     # The releases themselves: one that its engine has to answer, others that any may.
 
-    def _add(self, debt: _Debt, server: str, now: int) -> None:
+    def _add(self, debt: _Debt, server: str, now: int, once: bool) -> None:
         self.counts.releases += 1
         with self._releasing.changed:
-            number = self._releasing.book.add(Item(debt.request, server, 0, None, now))
+            number = self._releasing.book.add(_Release(debt.request, server, 0, None, now, once=once))
             if server:
                 self._asked[number] = debt
             self._releasing.changed.notify_all()
 
     def _carry(self, item: Item) -> Heard:
         if not item.server:
-            return self._release(item)
+            heard = self._release(item)
+            return Heard.DONE if isinstance(item, _Release) and item.once else heard
         engine = self._engines.get(item.server)
         return Heard.DONE if engine is None else self._ask(engine, item.request)  # none: its debts were dropped
 
