An engine that says something on a watched connection is asked for its release at once

Cause, read from the code: the release that an engine has to answer waited behind its last try (two seconds at most) although its word on the connection showed that it was back; a state that is there has 0.8 s. Change: ReleaseBook.back, which the answer of a try uses too. Measured: the new test in test_abandoned fails without the line; test_abandoned and test_engines pass.

--- a/stonetrack/edge/abandoned.py
+++ b/stonetrack/edge/abandoned.py
@@ -119,9 +119,7 @@
         self._book = _Book()
         self._asked: dict[int, _Debt] = {}  # by number of the release that its engine is asked to answer
         self._engines: dict[str, Engine] = {}  # those that are owed something; emptied when nothing is
-        self._answers: deque[tuple[_Debt, bool]] = (
-            deque()
-        )  # releases answered since the last look; after a while or not
+        self._answers: deque[tuple[_Debt, bool]] = deque()  # releases answered since the last look: after a while?
         self._changed = threading.Condition(threading.Lock())
         self._stopping = False
         self.counts = Counts()
@@ -207,6 +205,9 @@
         self.counts.told += 1
         debt.told_at = self._clock()
         debt.due, debt.left, debt.asked = debt.told_at, INFORMED, False
+        with self._releasing.changed:
+            self._releasing.book.back(debt.engine.name, debt.told_at)
+            self._releasing.changed.notify_all()
 
     def _look(self, now: int) -> None:
         """Release what is due; debts that are paid go.  Owed: ``Obligation.ABANDONED_READ``."""
--- a/stonetrack/engines/releases.py
+++ b/stonetrack/engines/releases.py
@@ -147,13 +147,17 @@
         if heard in (Heard.AWAY, Heard.GONE):
             self._not_reached(number, server, now, heard is Heard.GONE, asked is not None)
             return number in self._items
-        if (away := self._away.pop(server, None)) is not None:  # it answers: all that waited is due
-            for each in away.waiting:
-                heapq.heappush(self._heap, (now, each, ""))
+        self.back(server, now)
         if heard is Heard.DONE:
             self.done(number)
         return heard is Heard.AGAIN and self._again(number, now)
 
+    def back(self, server: str, now: int) -> None:
+        """An engine was heard: all that waited for it is due."""
+        if (away := self._away.pop(server, None)) is not None:
+            for each in away.waiting:
+                heapq.heappush(self._heap, (now, each, ""))
+
     def done(self, number: int) -> None:
         """There is no need for it any more."""
         self._items.pop(number, None)
--- a/tests/test_abandoned.py
+++ b/tests/test_abandoned.py
@@ -114,6 +114,22 @@
     assert len(script.asked) == tries + 1 and len(script.released) == BLIND + INFORMED
 
 
+def test_an_engine_that_was_away_is_asked_at_once_when_it_says_something(
+    book: AbandonedReads, script: Script, pairs: Pairs
+) -> None:
+    """Its next try would come after two seconds only: for a state that is there, too late."""
+    script.there = False
+    ours, theirs = pairs.pop()
+    book.add("q", engine(), ours)
+    assert wait_for(lambda: len(script.asked) >= 7, 5.0)  # pauses have doubled to over half a second
+    script.there = True
+    script.asked.clear()
+    before = time.monotonic()
+    theirs.close()
+    assert wait_for(lambda: script.asked == ["q"] * 2, 1.0) and time.monotonic() - before < 0.15
+    assert wait_for(lambda: not len(book), 2.0)
+
+
 def test_nothing_is_released_under_an_attempt_that_needs_it_unless_a_state_is_known_to_be_there(
     book: AbandonedReads, script: Script, pairs: Pairs
 ) -> None:
