A drawn play that serves under half of the usual requests is a finding of the soak

Cause: SERVICE_LEAST stood in the oracle and nobody read it; plays with 0.02 to 0.25 served counted as passed where the harness stood still (late by 5 to 39 s, beside a whole test run). Change: drawn plays have that bound; scripted ones may leave no engine to serve.

--- a/stonetrack/soak/oracle.py
+++ b/stonetrack/soak/oracle.py
@@ -36,7 +36,7 @@
 COMING = 700 * MS  # after SIGTERM: what comes later and is taken is lost where SIGKILL finds it unanswered
 HELD_TOLD = re.compile(r"INVARIANT 3 NOTHING_LEAKED: held for ([0-9.]+) s")
 STOPPED_ANSWER = 3 * SECOND  # for a client that stops within a request
-SERVICE_LEAST = 0.5  # share of what could be served
+SERVICE_LEAST = 0.5  # share of the requests of usual clients: half of what an undisturbed play serves
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +74,7 @@
 
     release_within: int
     unsafe: frozenset[str]  # names of classes that may not be repeated
+    service_least: float = 0.0  # share of the requests of usual clients
 
 
 @dataclass(slots=True)
@@ -131,6 +132,9 @@
         """All that was broken."""
         found = [*self._answers(), *self._effects(), *self._held(), *self._gone(), *self._drains(), *self._times()]
         found += [*self._streams(), *self._processes()]
+        least = self._terms.service_least
+        if self.service() < least:
+            found.append(Violation(0, "", f"{self.service():.3f} of the requests served, allowed: {least}"))
         return found
 
     def service(self) -> float:
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -24,7 +24,7 @@
 from stonetrack.soak.faults import Fault, Kind, draw
 from stonetrack.soak.latitude import Latitude, Sentence
 from stonetrack.soak.nodes import Node, Use
-from stonetrack.soak.oracle import Evidence, Lateness, Oracle, Terms, Violation
+from stonetrack.soak.oracle import SERVICE_LEAST, Evidence, Lateness, Oracle, Terms, Violation
 from stonetrack.soak.platform import Platform, bound, listen
 from stonetrack.standin.tap import Tap, read
 
@@ -188,6 +188,7 @@
         self._wire(size)
         engines = self.world.engines.values()
         prefill, decode = ([e.name for e in engines if e.decodes is decodes] for decodes in (False, True))
+        self._drawn = faults is None  # a script may leave no engine to serve
         self.faults = draw(seed, size.seconds, size.nodes, prefill, decode) if faults is None else faults
         self._holders: list[socket.socket] = []  # nodes' ports are taken, also while their processes are away
         self.nodes = [self._node(number, trace) for number in range(size.nodes)]
@@ -439,7 +440,7 @@
                 self._findings,
             )
         unsafe = frozenset(each.name for each in CLASSES if each.effect == "unsafe")
-        oracle = Oracle(evidence, Terms(RELEASE_WITHIN, unsafe))
+        oracle = Oracle(evidence, Terms(RELEASE_WITHIN, unsafe, SERVICE_LEAST if self._drawn else 0.0))
         late = lateness.own(began, ended)
         return Result(
             self.seed, self.faults, oracle.violations(), oracle.service(), len(seen), late, lateness.waits.share(),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,14 @@
         Latitude(1, {Sentence.TURNED_AWAY: 500})
 
 
+def test_a_play_that_serves_hardly_anybody_is_a_finding(tmp_path: Path) -> None:
+    play = Play(5, SHORT, tmp_path / "play", clients_of=USUAL, pinned=KINDEST)
+    play.faults = [Fault(0.1, 4.0, Kind.ROLE_SILENT, ("w0", "w1", "w2"))]
+    result = play.run()
+    assert result.service < 0.5 and not result.passed
+    assert any("requests served, allowed: 0.5" in violation.text for violation in result.violations)
+
+
 @pytest.mark.parametrize("seed", [101, 102])
 def test_drawn_faults_break_no_invariant(seed: int, tmp_path: Path) -> None:
     result = judged(lambda: Play(seed, replace(SMALL, nodes=4, seconds=7.0), tmp_path / "play"))
