--- a/stonetrack/fleet/pulse.py
+++ b/stonetrack/fleet/pulse.py
@@ -23,6 +23,8 @@
 from pathlib import Path
 
 EVERY = 0.05  # seconds from one look to the next
+PROBE = 1.0  # seconds of work that tell whether it is run
+RUN_SHARE = 0.95  # of them that it has to be given
 PRESSURE = Path("/proc/pressure/cpu")
 STAT = Path("/proc/stat")
 STEAL = 8  # the field of a line of /proc/stat
@@ -123,6 +125,21 @@
         self._looks.append(_look())
 
 
+def wait_for_processors(seconds: float) -> bool:
+    """Wait, for so long at most, until work that stands ready is run; whether it is.
+
+    Only work shows that: a machine at rest waits for nothing, however much its host has to do."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        began, used = time.monotonic(), time.thread_time()
+        while time.monotonic() < began + PROBE:
+            pass
+        if time.thread_time() - used >= RUN_SHARE * PROBE:
+            return True
+        time.sleep(PROBE)
+    return False
+
+
 def _look() -> _Look:
     return _Look(time.monotonic_ns(), _pressure(), _stolen())
 
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -19,7 +19,7 @@
 from stonetrack.fleet.clients import Apart
 from stonetrack.fleet.links import Link, Links
 from stonetrack.fleet.load import Seen
-from stonetrack.fleet.pulse import Pulse
+from stonetrack.fleet.pulse import Pulse, wait_for_processors
 from stonetrack.fleet.traffic import Clients, Traffic
 from stonetrack.soak.faults import Fault, Kind, draw
 from stonetrack.soak.latitude import Latitude, Sentence
@@ -43,6 +43,7 @@
 LATE_MOST = 100 * MS  # of the harness, over which a play that failed is played again
 WAITED_MOST = 0.15  # share of the time in which work had no processor, the same
 TRIES = 3  # of one seed on a machine that is short
+CALM_WITHIN = 60.0  # seconds for which the next of them waits for processors
 CLASSES = (
     Traffic(name="quick", share=2.0, deadline_ms=3_500, aim_ms=1_500, turn_tokens=(100, 600)),
     Traffic(name="keyed", share=1.0, deadline_ms=5_000, aim_ms=2_000, effect="keyed", turn_tokens=(100, 600)),
@@ -458,6 +459,7 @@
             f"seed {result.seed}: the machine was short (late by {late:.0f} ms, waited for {waited:.2f} of the time), "
             f"{len(result.violations)} violations; play {tried} of {TRIES}"
         )
+        wait_for_processors(CALM_WITHIN)
         result = make().run()
     return result
 
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -5,6 +5,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from stonetrack.day.bench import BenchError, convert
 from stonetrack.day.run import NOT_JUDGED
 from stonetrack.day.script import Day, load_day, plan
+from stonetrack.fleet import pulse
 from stonetrack.fleet.faulted import faults
 from stonetrack.fleet.load import Seen, schedule
 from stonetrack.fleet.pulse import MachineWaits, Waits
@@ -317,6 +319,16 @@
     assert [b.rule for b in verdict.breaches] == ([1] if broken else [])
 
 
+def test_a_machine_that_runs_what_stands_ready_is_waited_for_no_longer(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pulse, "PROBE", 0.02)
+    used = iter(n * 0.001 for n in range(1_000))
+    monkeypatch.setattr(time, "thread_time", lambda: next(used))
+    assert not pulse.wait_for_processors(0.2)
+    given = iter(n * 0.02 for n in range(1_000))
+    monkeypatch.setattr(time, "thread_time", lambda: next(given))
+    assert pulse.wait_for_processors(0.2)
+
+
 def test_what_the_host_took_of_many_processors_at_once_is_not_added_up() -> None:
     """Nothing runs on two processors at a time: the most of any one counts."""
     pressure = Waits([(0, 0), (1_000, 100)])
