--- a/stonetrack/fleet/links.py
+++ b/stonetrack/fleet/links.py
@@ -296,9 +296,7 @@
         """New connections never come up: nobody accepts, and the backlog is full, so the kernel drops what comes."""
 
         def carry() -> None:
-            for filler in link.fillers:
-                filler.close()
-            link.fillers.clear()
+            self._empty(link)
             self._unlisten(link)
             if not on:
                 self._listen(link)
@@ -361,8 +359,9 @@
             for each in list(link.open):
                 self._drop(each, "close")
             self._unlisten(link)
-            for sock in (*link.fillers, *([link.holder] if link.holder is not None else [])):
-                sock.close()
+            self._empty(link)
+            if link.holder is not None:
+                link.holder.close()
         self._tap.flush()
         for sock in (self._wake, self._waker):
             sock.close()
@@ -384,9 +383,16 @@
         if link.listener is not None:
             del self._listeners[link.listener.fileno()]
             self._epoll.unregister(link.listener.fileno())
-            link.listener.close()
+            _end(link.listener)
             link.listener = None
 
+    @staticmethod
+    def _empty(link: Link) -> None:
+        """End what keeps a link's address unreachable."""
+        for filler in link.fillers:
+            _end(filler)
+        link.fillers.clear()
+
     def _accept(self, link: Link) -> None:
         while link.listener is not None:
             try:
@@ -540,3 +546,11 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(("127.0.0.1", port))
     return sock
+
+
+def _end(sock: socket.socket) -> None:
+    """Close a socket, and end its listening even where a process that was just forked still has it: its port could not
+    be listened on again before that process has begun its program."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
