Soaks draw crowds of silent clients and connections to engines that stay silent for good

A crowd opens 100 to 500 connections to a node, and again as the node closes them, through its drain and restart. Test: 400 connections to a node told to end meanwhile, over 90% served.

--- /dev/null
+++ b/stonetrack/soak/crowd.py
@@ -0,0 +1,51 @@
+"""A crowd of clients that connect to a node, say nothing and come back when they are closed."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+
+CONNECT_TIMEOUT = 0.1  # seconds
+AT_ONCE = 50  # connections opened between two looks
+
+
+class Crowd:
+    """Up to ``size`` idle connections to one address; a context manager that closes them."""
+
+    def __init__(self, address: tuple[str, int], size: int) -> None:
+        self._address, self._size = address, size
+        self._open: dict[int, socket.socket] = {}
+        self.opened = 0  # in all
+        self.closed_by_node = 0
+
+    def __enter__(self) -> Crowd:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for sock in self._open.values():
+            sock.close()
+        self._open.clear()
+
+    def look(self) -> None:
+        """Drop those that the node has ended, and open some of those that are missing."""
+        self._drop_ended()
+        for _ in range(min(AT_ONCE, self._size - len(self._open))):
+            if not self._connect():
+                return
+
+    def _drop_ended(self) -> None:
+        poller = select.poll()
+        for descriptor in self._open:
+            poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+        for descriptor, _ in poller.poll(0):  # a node says nothing to them but that it is full
+            self._open.pop(descriptor).close()
+            self.closed_by_node += 1
+
+    def _connect(self) -> bool:
+        with contextlib.suppress(OSError):  # the node is away, or its queue full
+            sock = socket.create_connection(self._address, timeout=CONNECT_TIMEOUT)
+            self._open[sock.fileno()] = sock
+            self.opened += 1
+            return True
+        return False
--- a/stonetrack/soak/faults.py
+++ b/stonetrack/soak/faults.py
@@ -19,6 +19,7 @@
     ENGINE_SILENT = "nothing passes to or from an engine; the kernel takes the bytes"
     ROLE_SILENT = "nearly all engines of one role fall silent at once"
     KEPT_SILENT = "connections that are open to an engine fall silent, new ones work"
+    KEPT_SILENT_FOR_GOOD = "connections that are open to an engine fall silent and stay so"
     ONE_WAY_THERE = "nothing reaches an engine, what it says comes back"
     ONE_WAY_BACK = "an engine hears all, nothing of it comes back"
     UNREACHABLE = "new connections to an engine never come up"
@@ -34,17 +35,19 @@
     KILL_NODE = "a node is killed and started again"
     HUP = "a node is told to read its configuration, three times in a row, once a broken one"
     STOP_NODE = "a node is held up for 0.15 s, several times"
+    CROWD = "connections that say nothing are opened to a node, and again as it closes them"
 
 
 WEIGHTS = {
     Kind.ENGINE_SILENT: 3, Kind.ROLE_SILENT: 3, Kind.KEPT_SILENT: 3, Kind.ONE_WAY_THERE: 2, Kind.ONE_WAY_BACK: 2,
     Kind.UNREACHABLE: 2, Kind.SLOW_LINK: 1, Kind.BREAKS_IN_ANSWER: 1, Kind.RESETS: 2, Kind.KILL_ENGINE: 2,
     Kind.TROUBLE: 6, Kind.DRAIN: 1, Kind.DISCOVERY_SILENT: 1, Kind.WATCH_SILENT: 1, Kind.TERM: 2, Kind.KILL_NODE: 1,
-    Kind.HUP: 1, Kind.STOP_NODE: 1,
+    Kind.HUP: 1, Kind.STOP_NODE: 1, Kind.CROWD: 2, Kind.KEPT_SILENT_FOR_GOOD: 1,
 }  # fmt: skip
 SHORTEST, LONGEST = 0.4, 5.0  # seconds that a fault lasts
 ROLE_SHARE = 0.75  # of a role's engines that fall silent together
 EACH_SECOND = 0.7  # faults begun a second
+CROWD_LEAST, CROWD_MOST = 100, 500  # connections: some of what a node has for its clients, and more than it has
 QUIET_BEFORE, QUIET_AFTER = 1.5, 1.0  # seconds of the load without faults
 
 
@@ -58,7 +61,7 @@
     engines: tuple[str, ...] = ()
     node: int = -1  # -1: all nodes
     trouble: Trouble | None = None
-    amount: int = 0  # bytes, for a break
+    amount: int = 0  # bytes, for a break; connections, of a crowd
 
     def text(self) -> str:
         """One line."""
@@ -94,6 +97,8 @@
             return Fault(at, lasts, kind, engine, trouble=random_source.choice(list(Trouble)))
         case Kind.BREAKS_IN_ANSWER:
             return Fault(at, lasts, kind, engine, node, amount=random_source.randrange(1, 900))
+        case Kind.CROWD:
+            return Fault(at, lasts, kind, (), node, amount=random_source.randrange(CROWD_LEAST, CROWD_MOST))
         case Kind.RESETS | Kind.SLOW_LINK:
             return Fault(at, lasts, kind, engine, node)
         case Kind.DISCOVERY_SILENT | Kind.WATCH_SILENT | Kind.TERM | Kind.KILL_NODE | Kind.HUP | Kind.STOP_NODE:
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -21,6 +21,7 @@
 from stonetrack.fleet.load import Seen
 from stonetrack.fleet.pulse import Pulse, wait_for_processors
 from stonetrack.fleet.traffic import Clients, Traffic
+from stonetrack.soak.crowd import Crowd
 from stonetrack.soak.faults import Fault, Kind, draw
 from stonetrack.soak.latitude import Latitude, Sentence
 from stonetrack.soak.nodes import Node, Use
@@ -35,6 +36,7 @@
 METRONOME = 0.01  # seconds
 RELEASE_WITHIN = 500 * MS
 HELD_UP = 0.15  # seconds of a node that is held up
+CROWD_LOOK = 0.05  # seconds between two looks of a crowd
 LONGEST_DEADLINE = 5.0  # seconds, of the classes below
 KILL_AFTER = min(LONGEST_DEADLINE, 3.0) + 0.7  # seconds from SIGTERM to SIGKILL: the soonest that the page allows
 CPU_AT_REST = 0.3  # seconds of a processor in one second of rest
@@ -310,6 +312,13 @@
         for link in links:
             self.links.speak_again(link)
 
+    def silence_kept_for_good(self, fault: Fault) -> None:
+        """Connections that are open now fall silent; none of their bytes arrives, unless the end of another fault on
+        the same links lets them."""
+        for link in self._links_to(fault):
+            self.links.silence_open(link)
+        time.sleep(LONGEST_DEADLINE)  # by then no request waits on them
+
     def unreachable(self, fault: Fault) -> None:
         """New connections never come up."""
         links = self._links_to(fault)
@@ -398,6 +407,15 @@
                 node.hold_up(HELD_UP)
             time.sleep(0.4)
 
+    def crowd(self, fault: Fault) -> None:
+        """Silent connections crowd a node, through its ends and restarts."""
+        until = time.monotonic() + fault.seconds
+        with Crowd(self.nodes[fault.node].address, fault.amount) as crowd:
+            while time.monotonic() < until:
+                crowd.look()
+                time.sleep(CROWD_LOOK)
+            self.links.note("crowd", node=fault.node, opened=crowd.opened, closed_by_node=crowd.closed_by_node)
+
     # Rest and verdict.
 
     def _rest(self, before: list[Use]) -> None:
@@ -473,6 +491,7 @@
     Kind.ENGINE_SILENT: lambda play, fault: play.change_links(fault, cut_there=True, cut_back=True),
     Kind.ROLE_SILENT: lambda play, fault: play.change_links(fault, cut_there=True, cut_back=True),
     Kind.KEPT_SILENT: Play.silence_kept,
+    Kind.KEPT_SILENT_FOR_GOOD: Play.silence_kept_for_good,
     Kind.ONE_WAY_THERE: lambda play, fault: play.change_links(fault, cut_there=True),
     Kind.ONE_WAY_BACK: lambda play, fault: play.change_links(fault, cut_back=True),
     Kind.UNREACHABLE: Play.unreachable,
@@ -488,4 +507,5 @@
     Kind.KILL_NODE: Play.kill_node,
     Kind.HUP: Play.reload,
     Kind.STOP_NODE: Play.hold_up,
+    Kind.CROWD: Play.crowd,
 }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,17 @@
         Latitude(1, {Sentence.TURNED_AWAY: 500})
 
 
+def test_a_crowd_that_says_nothing_takes_no_clients_place(tmp_path: Path) -> None:
+    """More connections than the node has for its clients, opened anew as it closes them, through its drain too."""
+    faults = [Fault(0.5, 3.3, Kind.CROWD, (), 0, amount=400), Fault(2.0, 0.1, Kind.TERM, (), 0)]
+    two = replace(SHORT, nodes=2)
+    result = judged(lambda: Play(6, two, tmp_path / "play", faults, clients_of=USUAL, pinned=KINDEST))
+    assert result.passed, explained(result, tmp_path / "play")
+    [crowd] = [each for each in result.evidence.log if each["what"] == "crowd"]
+    assert crowd["opened"] > 400 and crowd["closed_by_node"] > 100  # it filled the node
+    assert result.service > 0.9
+
+
 def test_a_play_that_serves_hardly_anybody_is_a_finding(tmp_path: Path) -> None:
     play = Play(5, SHORT, tmp_path / "play", clients_of=USUAL, pinned=KINDEST)
     play.faults = [Fault(0.1, 4.0, Kind.ROLE_SILENT, ("w0", "w1", "w2"))]
