--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -48,7 +48,8 @@
 SILENCE = 4 * SECOND + SECOND // 2  # a stream without an event for so long has broken
 STALL = 10 * SECOND  # a client that takes nothing for so long has gone
 COMING = 0.55  # seconds after TERM in which clients still come (0.2 to 0.4 by the protocol); 0.7 are too many
-KILLED_AFTER = 3.0 + 0.7  # seconds after TERM at which KILL may come; sooner where no deadline is that long
+LONGEST_COUNTED = 3.0  # seconds of the longest deadline that count, after TERM, until KILL may come
+KILLED_BEHIND = 0.7  # seconds more
 KILL_MARGIN = 0.3  # seconds before that by which the node has ended
 LAST_RELEASES = 0.5  # seconds after the last answer in which releases may still be heard, however late that comes
 SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
@@ -248,7 +249,7 @@
     def _time_to_end(self) -> float:
         """Seconds after TERM in which the node is not killed yet."""
         longest = max(cls.deadline for cls in self.config.settings.classes) / SECOND
-        return min(longest + 0.7, KILLED_AFTER) - KILL_MARGIN
+        return min(longest, LONGEST_COUNTED) + KILLED_BEHIND - KILL_MARGIN
 
     def drain(self) -> None:
         """Serve what was taken to its end; signals that come meanwhile change nothing."""
