Taking a port of loopback and giving it back stand once, for links and engines

fleet/links.py had again what soak/platform.py had: bound, and a listener's shutdown before its close (Served.close). Both call fleet/listening.py now.

--- a/stonetrack/fleet/links.py
+++ b/stonetrack/fleet/links.py
@@ -26,6 +26,7 @@
 import msgspec
 
 from stonetrack.control.wire import Answer
+from stonetrack.fleet.listening import bound, end_listening
 from stonetrack.fleet.shape import Pipe, Policy
 from stonetrack.node.sockets import reset
 from stonetrack.standin.tap import Tap
@@ -204,7 +205,7 @@
 
     def add(self, source: str, to: str, target: tuple[str, int], shared: bool = False) -> Link:
         """A new link, listening at once."""
-        holder = _bound(0)
+        holder = bound()
         link = Link(source, to, target, port=holder.getsockname()[1], holder=holder, shared=shared)
         self.links[source, to] = link
         self.do(lambda: self._listen(link))
@@ -301,7 +302,7 @@
             if not on:
                 self._listen(link)
                 return
-            full = _bound(link.port)
+            full = bound(link.port)
             full.listen(0)
             link.fillers.append(full)
             for _ in range(_FILLERS):
@@ -373,7 +374,7 @@
 
     def _listen(self, link: Link) -> None:
         if link.listener is None and not link.policy.refuse and not link.fillers:
-            link.listener = _bound(link.port)
+            link.listener = bound(link.port)
             link.listener.listen(1024)
             link.listener.setblocking(False)
             self._listeners[link.listener.fileno()] = link
@@ -383,14 +384,14 @@
         if link.listener is not None:
             del self._listeners[link.listener.fileno()]
             self._epoll.unregister(link.listener.fileno())
-            _end(link.listener)
+            end_listening(link.listener)
             link.listener = None
 
     @staticmethod
     def _empty(link: Link) -> None:
         """End what keeps a link's address unreachable."""
         for filler in link.fillers:
-            _end(filler)
+            end_listening(filler)
         link.fillers.clear()
 
     def _accept(self, link: Link) -> None:
@@ -539,18 +540,3 @@
                 reset(sock)
             else:
                 sock.close()
-
-
-def _bound(port: int) -> socket.socket:
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", port))
-    return sock
-
-
-def _end(sock: socket.socket) -> None:
-    """Close a socket, and end its listening even where a process that was just forked still has it: its port could not
-    be listened on again before that process has begun its program."""
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
-    sock.close()
--- a/stonetrack/soak/platform.py
+++ b/stonetrack/soak/platform.py
@@ -20,6 +20,7 @@
 from typing import Any, NamedTuple
 
 from stonetrack.clocks import wall_time
+from stonetrack.fleet.listening import bound, end_listening
 from stonetrack.soak.engine_side import Arrival, End, EngineSide
 from stonetrack.soak.latitude import KINDEST, Latitude, Reply
 from stonetrack.wire import http1, writer
@@ -61,14 +62,6 @@
     request: str
 
 
-def bound(port: int = 0) -> socket.socket:
-    """A socket that has a port of loopback and does not listen: another with the same option still may (socket(7))."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", port))
-    return sock
-
-
 def listen(port: int = 0, backlog: int = BACKLOG) -> socket.socket:
     """A listening socket on loopback."""
     sock = bound(port)
@@ -118,9 +111,7 @@
 
     def close(self) -> None:
         """As a process that dies: connections are reset and new ones refused."""
-        with contextlib.suppress(OSError):
-            self.listener.shutdown(socket.SHUT_RDWR)
-        self.listener.close()
+        end_listening(self.listener)
         for sock in list(self.open):
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
--- a/stonetrack/soak/play.py
+++ b/stonetrack/soak/play.py
@@ -18,6 +18,7 @@
 
 from stonetrack.fleet.clients import Apart
 from stonetrack.fleet.links import Link, Links
+from stonetrack.fleet.listening import bound
 from stonetrack.fleet.load import Seen
 from stonetrack.fleet.pulse import Pulse, wait_for_processors
 from stonetrack.fleet.traffic import Clients, Traffic
@@ -26,7 +27,7 @@
 from stonetrack.soak.latitude import Latitude, Sentence
 from stonetrack.soak.nodes import Node, Use
 from stonetrack.soak.oracle import SERVICE_LEAST, Evidence, Lateness, Oracle, Terms, Violation
-from stonetrack.soak.platform import Platform, bound, listen
+from stonetrack.soak.platform import Platform, listen
 from stonetrack.standin.tap import Tap, read
 
 MS = 1_000_000
