--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,12 +16,13 @@
 
 import standins as s  # noqa: E402
 
-MEMORY_MB, SOCKETS = 64, 512
+MEMORY_MB, SOCKETS = 48, 512
 BAD_CLIENTS = 250
 BODY_BYTES = 262_144  # what a body may hold
 SENT_BYTES = 250_000  # of it, before a bad client stops
 USUAL_CLIENTS = 8
 QUIET_S, LOAD_S = 3.0, 12.0
+CHECK_S = 0.2  # between two looks at the node's memory
 
 
 class UsualClient(threading.Thread):
@@ -82,14 +83,17 @@
         """See ``Thread.run``."""
         status = Path(f"/proc/{self.node.process.pid}/status")
         while self.node.process.poll() is None:
-            found = re.search(r"VmRSS:\s+([0-9]+) kB", status.read_text("ascii", "replace"))
+            text = ""
+            with contextlib.suppress(OSError):  # the process has ended
+                text = status.read_text("ascii", "replace")
+            found = re.search(r"VmRSS:\s+([0-9]+) kB", text)
             self.most = max(self.most, int(found.group(1)) if found else 0)
             if self.most > MEMORY_MB * 1024:
                 self.killed = True
                 self.record.add(f"node killed: it holds {self.most / 1024:.0f} MiB of {MEMORY_MB}")
                 self.node.signal(signal.SIGKILL)
                 return
-            time.sleep(0.02)
+            time.sleep(CHECK_S)
 
 
 def main() -> int:
