--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,10 +16,10 @@
 
 import standins as s  # noqa: E402
 
-MEMORY_MB, SOCKETS = 48, 512
-BAD_CLIENTS = 250
+MEMORY_MB, SOCKETS = 112, 960
+BAD_CLIENTS = 450
 BODY_BYTES = 262_144  # what a body may hold
-SENT_BYTES = 250_000  # of it, before a bad client stops
+SENT_BYTES = 262_000  # of it, before a bad client stops
 USUAL_CLIENTS = 8
 QUIET_S, LOAD_S = 3.0, 12.0
 CHECK_S = 0.2  # between two looks at the node's memory
