--- a/review/standins.py
+++ b/review/standins.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -347,10 +348,16 @@
     }
 
 
+def _stop(number: int, frame: object) -> None:
+    """A script that is told to end still ends what it started."""
+    sys.exit(NOT_RUN)
+
+
 class Node:
     """One node, started with the deploy file's ``run``, with its configuration in a temporary folder."""
 
     def __init__(self, agent: Agent, of_settings: dict[str, Any], limits: dict[str, Any] | None = None) -> None:
+        signal.signal(signal.SIGTERM, _stop)
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.port = free_port()
         folder = Path(self.folder.name)
