Rest a connection after each answer, so that no second answer serves the next client

Cause: a response does not name its request. The pool took "nothing readable now" for "nothing more will come" and handed a connection out at once; a second answer that arrived after the next request was written was read as its answer, and every later answer on that connection was shifted by one.

Change: a connection rests for 0.1 s after each answer (pool, reuse delay), for attempts, probes, releases and the daemon alike; what arrives meanwhile discards it, counted in /metrics. Bytes on a reused connection before the whole request is written answer an earlier one: the attempt ends as not sent. A connection opened ahead has nothing to rest from.

--- a/stonetrack/edge/engines.py
+++ b/stonetrack/edge/engines.py
@@ -130,6 +130,7 @@
             lambda returned: self.pool.put_back(engine.host, engine.port, returned),
             api.Outcome.CONNECT_FAILED,
             self._abandon_callback(request.request_id, engine),
+            reused=age is not None,
         )
         if self._trace is not None:
             self._traced_attempts[attempt] = server
--- a/stonetrack/edge/metrics.py
+++ b/stonetrack/edge/metrics.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any
 
+from stonetrack.engines.pool import Discarded
 from stonetrack.node.invariants import Invariant
 
 if TYPE_CHECKING:
@@ -44,8 +45,15 @@
         yield self._counter(
             "abandoned_reads", "Reads that ended without a word, by what became of them", "what", abandoned
         )
+        yield self._counter(
+            "discarded_connections", "Idle connections to engines that could not be reused", "why", self._discarded()
+        )
         yield self._gauges()
 
+    def _discarded(self) -> dict[Any, int]:
+        counts = self._node.pool.discarded
+        return {reason: counts[reason] for reason in Discarded}
+
     @staticmethod
     def _counter(name: str, help_text: str, label: str, counts: Counter[Any] | dict[Any, int]) -> Any:
         from prometheus_client.core import CounterMetricFamily
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -47,10 +47,11 @@
     ``cancel_timeout`` is in seconds.  ``unsent_outcome`` is the outcome if the connection is lost before the whole
     request was sent.  ``on_abandoned`` is called if an attempt whose request was sent whole ends without an answer or
     close from its engine; it takes over the connection (None if it is lost), whose sending side is shut down.
+    ``reused`` tells that the connection has carried an earlier request.
     """
 
     __slots__ = ("_on_abandoned", "_cancel_timeout", "_exchange", "_return_connection", "_unsent_bytes", "_exhausted",
-                 "_sock", "_unsent_outcome", "__weakref__")  # fmt: skip
+                 "_reused", "_sock", "_unsent_outcome", "__weakref__")  # fmt: skip
 
     def __init__(
         self,
@@ -61,7 +62,9 @@
         return_connection: Callable[[socket.socket], None],
         unsent_outcome: Outcome = Outcome.NOT_SENT,
         on_abandoned: Callable[[socket.socket | None], None] | None = None,
+        reused: bool = False,
     ) -> None:
+        self._reused = reused
         self._sock: socket.socket | None = sock
         self._unsent_bytes = memoryview(request)
         self._exchange = exchange
@@ -116,6 +119,9 @@
         except OSError as error:
             return self._connection_lost(f"the connection broke: {error}")
         self._exhausted = 0
+        if data and self._unsent_bytes and self._reused:
+            # Engines begin once they have the whole request: what comes before answers an earlier request.
+            return self._connection_lost("bytes arrived before the whole request was sent")
         if data:
             events = self._exchange.feed(data)
         elif self._unsent_bytes and not self._exchange.received:
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -93,7 +93,7 @@
             engine.kind.load_header, self._acting_of(request.request_id)
         )  # fmt: skip
         try:
-            sock, _ = self.pool.acquire(engine.host, engine.port, self._connect_timeout)
+            sock, age = self.pool.acquire(engine.host, engine.port, self._connect_timeout)
         except ResourceExhausted as error:
             return AttemptResult(api.Outcome.NOT_SENT, f"engine {server}: {error}")
         except OSError as error:
@@ -107,6 +107,7 @@
             protocol.Exchange(role, self._limits),
             self._cancel_timeout,
             lambda idle_sock: self.pool.put_back(engine.host, engine.port, idle_sock),
+            reused=age is not None,
         )
         for event in attempt.push():
             if isinstance(event, AttemptResult):
@@ -146,7 +147,7 @@
             sock, _ = self.pool.acquire(engine.host, engine.port, self._connect_timeout)
         except OSError:
             return False
-        self.pool.put_back(engine.host, engine.port, sock)
+        self.pool.put_back(engine.host, engine.port, sock, answered=False)
         return True
 
     def close(self, wait: float = 1.0) -> None:
--- a/stonetrack/soak/platform.py
+++ b/stonetrack/soak/platform.py
@@ -16,6 +16,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -62,6 +63,14 @@
     request: str
 
 
+@dataclass(frozen=True)
+class LateAnswer:
+    """Bytes that an engine sends ``delay`` seconds after each of its answers to an attempt."""
+
+    data: bytes
+    delay: float
+
+
 def listen(port: int = 0, backlog: int = BACKLOG) -> socket.socket:
     """A listening socket on loopback."""
     sock = bound(port)
@@ -141,6 +150,7 @@
         self.reservation_delay = 0.0
         self.load_report = LOAD_REPORT
         self.ignores_probes = False
+        self.late_answer: LateAnswer | None = None
         super().__init__()
 
     @property
@@ -274,6 +284,9 @@
                 self._stream(sock, arrival, scripted)
             else:
                 self._complete_prefill(sock, arrival)
+            if (late_answer := self.late_answer) is not None:
+                time.sleep(late_answer.delay)
+                sock.sendall(late_answer.data)
 
     def _rejected(self, sock: socket.socket, arrival: Arrival, scripted: str, state_available: bool) -> bool:
         full = scripted == "503" or self.fault is EngineFault.FULL
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -28,6 +28,7 @@
 from stonetrack.node.invariants import Invariant
 from stonetrack.node.ports import AttemptResult, InferenceRequest
 from stonetrack.soak.engine_side import HeldKind
+from stonetrack.soak.platform import LateAnswer
 from stonetrack.soak.unspecified import MOST_HELPFUL, EngineBehaviour, Unspecified
 from stonetrack.wire import writer
 from tests.harness import Client, wait_for
@@ -79,6 +80,45 @@
     assert len(violations) == len(Invariant) and set(violations.values()) == {"0.0"}
 
 
+FOREIGN_STREAM = (
+    writer.chunked_head(200, [("Content-Type", "text/event-stream")])
+    + writer.chunk(b'data: {"choices":[{"index":0,"delta":{"content":"foreign"}}]}\n\ndata: [DONE]\n\n')
+    + writer.LAST_CHUNK
+)
+
+
+@pytest.mark.parametrize(
+    ("engine", "late_answer"),
+    [
+        ("w0", FOREIGN_STREAM),
+        ("w0", writer.response(504, [("X-Unprocessed", "1")])),
+        ("r0", writer.response(202, [], b'{"cached_tokens":16}')),
+        ("r0", writer.response(504, [("X-Unprocessed", "1")])),
+    ],
+    ids=["stream", "decode rejected", "prefilled", "prefill rejected"],
+)
+def test_a_late_second_answer_is_not_taken_for_the_answer_to_the_next_request(
+    engine: str, late_answer: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client that is served another client's stream, and against a request that runs twice.
+
+    Each engine works for longer than its second answer takes, so that one on a reused connection comes first."""
+    monkeypatch.setattr("stonetrack.engines.pool.MIN_DELAY_S", 2.0)  # room for a machine that is held up
+    with platform(1, 1) as world, node(world) as edge_node:
+        world.work_seconds = 0.05
+        world.engines[engine].late_answer = LateAnswer(late_answer, 0.08 if engine == "w0" else 0.03)
+        client, earlier = Client(world.listen), Client(world.listen)
+        for n in range(5):
+            if engine == "r0":  # the next prompt comes right behind the prefill of this one
+                earlier.send_request(b"{}", headers=headers(f"earlier{n}"))
+                assert wait_for(lambda n=n: len(world.calls_for(f"earlier{n}")) == 2)  # type: ignore[misc]
+            answers = [round_trip(client, f"q{n}")] + ([earlier.answer()] if engine == "r0" else [])
+            for head, body in answers:
+                assert head.status == 200 and b"foreign" not in body and b"[DONE]" in body
+            assert [what for what, _ in world.calls_for(f"q{n}")] == ["read", "write"]
+        assert wait_for(lambda: is_idle(edge_node)) and not world.held
+
+
 def test_an_invalid_request_gets_an_error_and_the_next_is_served() -> None:
     with platform() as world, node(world):
         client = Client(world.listen)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -22,9 +22,9 @@
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.idle_timeouts import IdleTimeouts
 from stonetrack.engines.list_source import ListSource
-from stonetrack.engines.pool import ConnectionPool
+from stonetrack.engines.pool import ConnectionPool, Discarded
 from stonetrack.engines.release_queue import PendingRelease, ReleaseQueue, ReleaseResult
-from stonetrack.engines.reuse_delay import ReuseDelay
+from stonetrack.engines.reuse_delay import MIN_DELAY_S, ReuseDelay
 from stonetrack.engines.server_list import ListError, ServerListState
 from stonetrack.node.ports import AnswerPart, AnswerStarted, AttemptEvent, AttemptResult, InferenceRequest
 from stonetrack.node.sockets import readable
@@ -134,12 +134,12 @@
 
 
 def attempt(
-    data: bytes = b"x" * 100, role: Role = DECODE, cancel_timeout: float = 0.02
+    data: bytes = b"x" * 100, role: Role = DECODE, cancel_timeout: float = 0.02, reused: bool = False
 ) -> tuple[SocketAttempt, socket.socket, list[socket.socket]]:
     node_side, engine_side = socket.socketpair()
     returned: list[socket.socket] = []
     return (
-        SocketAttempt(node_side, data, protocol.Exchange(role, LIMITS), cancel_timeout, returned.append),
+        SocketAttempt(node_side, data, protocol.Exchange(role, LIMITS), cancel_timeout, returned.append, reused=reused),
         engine_side,
         returned,
     )
@@ -219,6 +219,7 @@
     sock, used = pool.acquire(host, port, 1.0)
     engine_side, _ = server.accept()
     pool.put_back(host, port, sock)
+    time.sleep(MIN_DELAY_S)
     again, used = pool.acquire(host, port, 1.0)
     assert used is not None and again is sock
     pool.put_back(host, port, again)
@@ -234,6 +235,56 @@
         pool.acquire(host, port, 0.2)
 
 
+def test_a_connection_that_may_still_bring_a_second_answer_carries_no_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against serving a client the answer to an earlier request on the same connection."""
+    now = [1_000.0]
+    monkeypatch.setattr("stonetrack.engines.pool.time.monotonic", lambda: now[0])
+    server = listening()
+    host, port = server.getsockname()
+    pool = ConnectionPool(4, idle_timeout=60.0)
+    answered, second = (pool.acquire(host, port, 1.0)[0] for _ in range(2))
+    sides = [server.accept()[0] for _ in range(2)]
+    engine_side = next(side for side in sides if side.getpeername() == answered.getsockname())
+    pool.put_back(host, port, answered)
+    now[0] += 0.05  # the engine is a little late with a second answer
+    other, age = pool.acquire(host, port, 1.0)
+    assert other is not answered and age is None
+    engine_side.sendall(json_response(503, b"", ("X-Unprocessed", "1")))
+    pool.put_back(host, port, second)
+    assert readable(answered, 2_000.0)
+    now[0] += 0.1
+    rested, age = pool.acquire(host, port, 1.0)
+    assert rested is second and age == pytest.approx(0.1) and not pool.discarded
+    third, age = pool.acquire(host, port, 1.0)
+    assert age is None and pool.discarded == {Discarded.UNSOLICITED: 1} and answered.fileno() == -1
+    for sock in (other, rested, third, *sides, server):
+        sock.close()
+
+
+def test_an_unused_connection_is_ready_at_once() -> None:
+    """Guards against a first request that waits for a new connection beside the one opened ahead for it."""
+    server = listening()
+    host, port = server.getsockname()
+    pool = ConnectionPool(4, idle_timeout=60.0)
+    sock, _ = pool.acquire(host, port, 1.0)
+    pool.put_back(host, port, sock, answered=False)
+    assert pool.last_response_at(host, port) == 0.0
+    again, age = pool.acquire(host, port, 1.0)
+    assert again is sock and age is not None
+    sock.close()
+    server.close()
+
+
+@pytest.mark.parametrize("reused", [False, True])
+def test_bytes_before_the_whole_request_was_written_answer_only_a_first_request(reused: bool) -> None:
+    """Guards against taking an earlier request's stream for the answer to a request that is still being written."""
+    sent, engine_side, returned = attempt(b"x" * (8 << 20), reused=reused)
+    sent.push()
+    engine_side.sendall(stream_response(CHUNK, b"[DONE]"))
+    assert outcome(sent.process_io()) is (Outcome.NOT_SENT if reused else Outcome.SERVED)
+    assert sent.fileno() == -1 and not returned
+
+
 def test_pool_limits_number_and_idle_time_of_connections() -> None:
     server = listening()
     host, port = server.getsockname()
@@ -304,14 +355,14 @@
 
 def test_reuse_delay_starts_after_repeated_failures_and_expires() -> None:
     delay = ReuseDelay()
-    assert delay.required(0.0) == 0.0
+    assert delay.learned(0.0) == 0.0
     delay.record_unanswered(10.0, 0.2)
-    assert delay.required(10.0) == 0.0  # a single failure may be chance
+    assert delay.learned(10.0) == 0.0  # a single failure may be chance
     delay.record_unanswered(11.0, 0.4)
-    assert delay.required(11.0) == pytest.approx(0.52)
+    assert delay.learned(11.0) == pytest.approx(0.52)
     delay.record_unanswered(11.5, 9.0)  # a stopped engine: no close takes so long to arrive
-    assert delay.required(12.0) == pytest.approx(0.52)
-    assert delay.required(30.5) == 0.0  # the first failure has expired
+    assert delay.learned(12.0) == pytest.approx(0.52)
+    assert delay.learned(30.5) == 0.0  # the first failure has expired
 
 
 def test_pool_with_reuse_delay_takes_the_oldest_or_opens_a_connection() -> None:
