Count a request from its last byte: refuse those that become whole late in a drain

Cause: HttpRequest.arrived is the time of the head. The drain's refusal used it, so a request was taken whose last byte came 0.9 to 1.25 s after SIGTERM. The time left used it too: a request that took 1.1 s to write was failed at once although its client would have waited 1 s more.

Change: HttpRequest.completed, the time at which the last byte was read, decides both at the platform's node ("the time of a request counts from its last byte"). It is never before the arrival, so a refused request has not run and a served one was in time.

Tests fail before: test_a_draining_node_refuses_a_request_whose_last_byte_comes_late (200 for 503), test_the_time_of_a_slowly_written_request_begins_with_its_last_byte (503 for 200).

--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -5,7 +5,8 @@
 
 - TERM starts a drain.  For a while clients still connect, and what they send counts as accepted; so the node accepts
   for another ``ACCEPTING_S`` seconds, with answers that close their connections, and closes idle connections at once.
-  Later requests are refused at once, since the process may end before their answer; all others are served to their end.
+  Requests that are complete only later are refused at once, since the process may end before their answer; all others
+  are served to their end.
 - HUP reads the configuration again.  A new address of the discovery service is followed from then on; router, tables,
   requests and connections stay.  A configuration that can't be read changes nothing.
 """
@@ -202,10 +203,11 @@
             return sink.respond(200, metrics.exposition(self))
         if head.path != requests.CHAT_PATH or head.method != "POST":
             return sink.respond(404, f"allowed: POST {requests.CHAT_PATH}, GET /up, GET /metrics")
-        if self._refuse_after and request.arrived > self._refuse_after:
+        # A request is taken, and its time begins, with its last byte (protocol), which may follow long after its head.
+        if self._refuse_after and request.completed > self._refuse_after:
             return sink.respond(503, "this node is leaving: try again elsewhere")
         try:
-            waited_ns = time.monotonic_ns() - request.arrived
+            waited_ns = time.monotonic_ns() - request.completed
             parsed = requests.parse_request(head, request.body, self.classes, waited_ns, self.clock(), self.tenants)
         except requests.BadRequest as error:
             return sink.respond(error.status, str(error))
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -19,11 +19,13 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """One whole request; ``arrived`` is the monotonic time in nanoseconds at which its head was complete."""
+    """One whole request; ``arrived`` and ``completed`` are the monotonic times in nanoseconds at which the last byte of
+    its head and of the request was read."""
 
     head: http1.RequestHead
     body: bytes
     arrived: int
+    completed: int
 
 
 @dataclass(slots=True)
@@ -91,7 +93,7 @@
                 self._body.append(event.data)
                 self.partial_body_bytes += len(event.data)
             elif isinstance(event, http1.End) and self._head is not None:
-                request = HttpRequest(self._head, b"".join(self._body), self._head_read_at)
+                request = HttpRequest(self._head, b"".join(self._body), self._head_read_at, now)
                 self._head, self._body, self.request_started_at, self.partial_body_bytes = None, [], 0, 0
                 self.requests_read += 1
                 self.response_started = False
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -487,6 +487,47 @@
         assert not draining.is_alive() and is_idle(edge_node)
 
 
+def begin_request(client: Client, request_id: str, body: bytes, **changes: str) -> None:
+    """Send a request's head and the first byte of its body."""
+    head = f"POST {CHAT} HTTP/1.1\r\nHost: t\r\n{headers(request_id, **changes)}Content-Length: {len(body)}\r\n\r\n"
+    client.send(head.encode() + body[:1])
+
+
+def test_a_draining_node_refuses_a_request_whose_last_byte_comes_late() -> None:
+    """Guards against a stream that is begun so late in a drain that the kill cuts it; its head came before TERM."""
+    with platform() as world, node(world) as edge_node:
+        world.event_interval = 0.3
+        slow, in_time = Client(world.listen), Client(world.listen)
+        body = b'{"model":"chat"}'
+        begin_request(slow, "slow", body)
+        begin_request(in_time, "in-time", body)
+        assert wait_for(lambda: sum(c.awaits_body for c in list(edge_node.host._parked.values())) == 2)
+        draining = threading.Thread(target=edge_node.drain)
+        draining.start()
+        in_time.send(body[1:])
+        assert wait_for(lambda: bool(world.calls_for("in-time")))
+        time.sleep(ACCEPTING_S + 0.1)
+        slow.send(body[1:])
+        head, _ = slow.answer()
+        assert head.status == 503 and head.headers.get("connection") == "close" and not world.calls_for("slow")
+        head, answer = in_time.answer()
+        assert head.status == 200 and b"[DONE]" in answer
+        draining.join(10.0)
+        assert not draining.is_alive() and is_idle(edge_node)
+
+
+def test_the_time_of_a_slowly_written_request_begins_with_its_last_byte() -> None:
+    """Guards against failing a request whose body took longer to write than its client waits for the first token."""
+    with platform() as world, node(world) as edge_node:
+        client = Client(world.listen)
+        begin_request(client, "slow", b"{}", X_Time_Left="1000m")
+        time.sleep(1.1)
+        client.send(b"}")
+        head, body = client.answer()
+        assert head.status == 200 and b"[DONE]" in body and 0 < int(world.times_left["slow"][:-1]) <= 1_000
+        assert wait_for(lambda: is_idle(edge_node))
+
+
 def test_a_process_that_was_stopped_for_a_while_continues_to_serve(tmp_path: Path) -> None:
     """``sigtimedwait`` then returns an uninitialized record without a signal (CPython 3.11): it has to be ignored."""
     with platform() as world, program(world, tmp_path) as run:
