Bound the bodies of requests by their bytes, in shares of the node's memory limit

Cause: memory was divided by the number of requests, with a usual body in each, and bodies on their way were bounded by a fixed 256 MiB. Bytes were counted nowhere. The same on related paths: 450 whole bodies with hanging engines took 227 MiB of 112.

Change: BodyMemory (no I/O) bounds what is read by reservations of whole lengths, 64 KiB for each connection without one, and what is served by its bytes; the bounds follow from memory_mb (edge/budget.py). Whoever waits is not read; who keeps memory for 0.5 s without a byte while others wait gets 408; a request beyond the share 503. The copy for the engine, the last request of an idle worker and what had come of a rejected body are freed at once. The time of a client that waited counts from the wait.

--- a/stonetrack/edge/requests.py
+++ b/stonetrack/edge/requests.py
@@ -115,7 +115,7 @@
 def parse_request(
     head: RequestHead, body: bytes, classes: dict[str, int], waited_ns: int, now: int, tenants: dict[str, int]
 ) -> InferenceRequest:
-    """Parse a request whose last byte was read ``waited_ns`` ago; ``classes`` and ``tenants`` map names to numbers.
+    """Parse a request whose client's time began ``waited_ns`` ago; ``classes`` and ``tenants`` map names to numbers.
 
     ``now`` is the node's clock in nanoseconds.  Raises BadRequest."""
     headers = head.headers
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -27,7 +27,7 @@
 from stonetrack.clocks import node_clock
 from stonetrack.edge import metrics, requests
 from stonetrack.edge.abandoned import AbandonedPrefills
-from stonetrack.edge.budget import divide_budget
+from stonetrack.edge.budget import MAX_BODY_BYTES, divide_budget
 from stonetrack.edge.calls import EngineCalls
 from stonetrack.edge.config import Config, ConfigError, deployment_mismatch, parse
 from stonetrack.edge.engine_table import EngineTable, ServerListError
@@ -47,7 +47,6 @@
 
 SECOND = 1_000_000_000
 STACK_BYTES = 256 * 1024
-MAX_BODY_BYTES = 262_144  # the protocol's bound
 STREAM_SILENCE_NS = 4 * SECOND + SECOND // 2  # a stream without an event for longer counts as broken
 CLIENT_STALL_NS = 10 * SECOND  # a client that reads nothing for longer counts as gone
 ACCEPTING_S = 0.55  # clients still connect for 0.2 to 0.4 s after TERM (protocol); what comes after 0.7 s may be lost
@@ -134,6 +133,7 @@
             text_response,
             log,
             budget.wakers,
+            budget.bodies,
         )
 
     @staticmethod
@@ -207,7 +207,7 @@
         if self._refuse_after and request.completed > self._refuse_after:
             return sink.respond(503, "this node is leaving: try again elsewhere")
         try:
-            waited_ns = time.monotonic_ns() - request.completed
+            waited_ns = time.monotonic_ns() - request.timed_from
             parsed = requests.parse_request(head, request.body, self.classes, waited_ns, self.clock(), self.tenants)
         except requests.BadRequest as error:
             return sink.respond(error.status, str(error))
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -13,6 +13,7 @@
 from stonetrack.node.sockets import ResourceExhausted
 
 _END_WAIT_MS = 5  # wait for the end of the message after the outcome, so that the connection can be reused
+_ALL_SENT = memoryview(b"")
 _MAX_EXHAUSTED = 60  # consecutive calls without resources, each of them retried, after which an attempt is cancelled
 
 
@@ -92,6 +93,7 @@
             while self._unsent_bytes:
                 self._unsent_bytes = self._unsent_bytes[sockets.send(sock, self._unsent_bytes) :]
                 self._exhausted = 0
+            self._unsent_bytes = _ALL_SENT  # an empty view still keeps the whole request in memory
         except BlockingIOError:
             pass
         except ResourceExhausted as error:
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -19,13 +19,17 @@
 
 @dataclass(slots=True)
 class HttpRequest:
-    """One whole request; ``arrived`` and ``completed`` are the monotonic times in nanoseconds at which the last byte of
-    its head and of the request was read."""
+    """One whole request; times are monotonic, in nanoseconds.
+
+    ``arrived`` and ``completed`` are when the last byte of its head and of the request was read.  ``timed_from`` is
+    when its client's time begins: at ``completed``, or earlier if the host stopped reading before the last byte.
+    """
 
     head: http1.RequestHead
     body: bytes
     arrived: int
     completed: int
+    timed_from: int
 
 
 @dataclass(slots=True)
@@ -47,15 +51,16 @@
         "request_started_at",
         "closed",
         "corked",
-        "counted_body_bytes",
         "partial_body_bytes",
         "linger_until",
         "parked_at",
         "pending",
+        "read_at",
         "reader",
         "requests_read",
         "sock",
         "state",
+        "unread_since",
     )
 
     def __init__(self, sock: socket.socket, limits: http1.Limits, state: HostState) -> None:
@@ -69,8 +74,11 @@
         self.pending = bytearray()  # written, not yet accepted by the socket
         self.parked_at = self.request_started_at = 0  # monotonic ns: idle since; first byte of a request
         self.closed = False
+        self.read_at = 0  # monotonic ns: when bytes were read last
+        self.unread_since = (
+            0  # monotonic ns: when the host stopped reading for the first time in this request; 0 if never
+        )
         self.partial_body_bytes = 0  # of an incomplete body
-        self.counted_body_bytes = 0  # those included in the host's total
         self._head: http1.RequestHead | None = None
         self._head_read_at = 0
         self._body: list[bytes] = []
@@ -82,8 +90,9 @@
     def feed(self, data: bytes) -> HttpRequest | None:
         """Feed received bytes; return a completed request, if any.  Raises ProtocolError or ClientDisconnected."""
         now = time.monotonic_ns()
-        if data and not self.request_started_at:
-            self.request_started_at = now
+        if data:
+            self.read_at = now
+            self.request_started_at = self.request_started_at or now
         for event in self.reader.feed(data, messages=1):
             if isinstance(event, http1.RequestHead):
                 self._head, self._head_read_at, self._body, self.partial_body_bytes = event, now, [], 0
@@ -93,8 +102,10 @@
                 self._body.append(event.data)
                 self.partial_body_bytes += len(event.data)
             elif isinstance(event, http1.End) and self._head is not None:
-                request = HttpRequest(self._head, b"".join(self._body), self._head_read_at, now)
-                self._head, self._body, self.request_started_at, self.partial_body_bytes = None, [], 0, 0
+                timed_from = self.unread_since or now
+                request = HttpRequest(self._head, b"".join(self._body), self._head_read_at, now, timed_from)
+                self.discard_body()
+                self.request_started_at = self.unread_since = 0
                 self.requests_read += 1
                 self.response_started = False
                 return request
@@ -102,6 +113,15 @@
             self.request_started_at = now  # bytes received together with the previous request
         return None
 
+    def discard_body(self) -> None:
+        """Free the body read so far."""
+        self._head, self._body, self.partial_body_bytes = None, [], 0
+
+    @property
+    def body_length(self) -> int | None:
+        """Announced length in bytes of the body that is awaited; None if it is not known."""
+        return self._head.length if self._head is not None else None
+
     @property
     def closes_after_response(self) -> bool:
         """Whether the connection closes after the current response: the instance is about to stop, and no further input
--- a/stonetrack/frontend/host.py
+++ b/stonetrack/frontend/host.py
@@ -7,7 +7,7 @@
 - A worker thread runs each complete request to its end.  Workers are started on demand up to a bound and exit after
   an idle time.  When no worker is available, the parking thread rejects the request at once (503).
 
-Bounds: connections, workers, total bytes of incomplete bodies, time for a head and a body, idle time.  When
+Bounds: connections, workers, bytes of bodies (:mod:`.body_memory`), time for a head and a body, idle time.  When
 connections run short, unused ones are closed, oldest first (:meth:`Host._make_room`), so that hundreds of silent
 clients do not lock out others.  One descriptor is held in reserve: when descriptors run out, it is released to accept
 a client and reject it with a response.
@@ -26,7 +26,9 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from stonetrack.frontend.body_memory import BodyLimits, BodyMemory
 from stonetrack.frontend.connection import Connection, HostState, HttpRequest
 from stonetrack.node import sockets
 from stonetrack.node.ports import ClientDisconnected
@@ -37,7 +39,6 @@
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
 
-_MAX_PARTIAL_BODY_BYTES = 256 << 20  # incomplete request bodies, over all connections
 _READ_BYTES = 65_536
 _NEXT_REQUEST_WAIT_MS = 2  # a worker's wait for the next request before it parks the connection
 _WORKER_IDLE_S = 15.0
@@ -54,12 +55,20 @@
 Handler = Callable[[Connection, HttpRequest, Waker], bool]  # returns whether the connection may be kept
 
 
+@dataclass(slots=True)
+class _Job:
+    """A request for a worker; None once it has been served, so that a waiting worker keeps no body in memory."""
+
+    connection: Connection
+    request: HttpRequest | None
+
+
 class Host:
     """Serves one listening socket.
 
     ``handle`` runs a request on a worker thread; ``rejection_response`` makes the response (status, reason)
     for a client that can't be served.  At most ``max_waker_descriptors`` workers get a descriptor to be woken by;
-    further ones poll.
+    further ones poll.  ``body_limits`` bounds the memory for bodies.
     """
 
     def __init__(
@@ -71,8 +80,10 @@
         rejection_response: Callable[[int, str], bytes],
         log: Callable[[str], None],
         max_waker_descriptors: int = 1 << 30,
+        body_limits: BodyLimits | None = None,
     ) -> None:
         self.listener = listener
+        self.bodies = BodyMemory(body_limits or BodyLimits(), limits.body_bytes)
         self._max_waker_descriptors = max_waker_descriptors
         self.limits, self.timing = limits, timing
         self._handle, self._rejection_response, self._log = handle, rejection_response, log
@@ -83,12 +94,11 @@
         self._park_waker = Waker()
         self._epoll.register(self._park_waker.fd, select.EPOLLIN)
         self._lock = threading.Lock()
-        self._jobs: queue.SimpleQueue[tuple[Connection, HttpRequest] | None] = queue.SimpleQueue()
+        self._jobs: queue.SimpleQueue[_Job | None] = queue.SimpleQueue()
         self._idle_workers = 0
         self.workers = 0
         self.connections = 0
         self.rejected = 0
-        self._partial_body_bytes = 0
         self.state = HostState()
         self._moving_connections = False  # the parking thread is reading or moving connections between its collections
         self._reading_stopped = False
@@ -275,6 +285,8 @@
             if time.monotonic() - last_overdue_check > 0.25:
                 last_overdue_check = time.monotonic()
                 self._close_overdue()
+            if self.bodies.waiting:
+                self._resume_waiting()
             self._moving_connections = False
         for connection in list(self._parked.values()):
             self._close(connection)
@@ -290,8 +302,16 @@
 
     def _park_connection(self, connection: Connection) -> None:
         connection.parked_at = time.monotonic_ns()
+        self._parked[connection.fileno()] = connection
+        if not self._watch(connection):
+            return
+        idle = connection.requests_read and connection.reader.idle and not connection.linger_until
+        if self.state.draining and idle:
+            self._close_if_idle(connection)
+
+    def _watch(self, connection: Connection) -> bool:
+        """Add a connection to epoll; if that fails, close it and return False."""
         fd = connection.fileno()
-        self._parked[fd] = connection
         try:
             sockets.call_with_retries(
                 SystemCall.POLL, lambda: self._epoll.register(fd, select.EPOLLIN | select.EPOLLRDHUP)
@@ -299,10 +319,21 @@
         except OSError as error:
             self._log(f"client connection can't be added to epoll: {error}")
             self._respond_and_close(connection, 503, "this instance is short of means")
-            return
-        idle = connection.requests_read and connection.reader.idle and not connection.linger_until
-        if self.state.draining and idle:
-            self._close_if_idle(connection)
+            return False
+        return True
+
+    def _unwatch(self, connection: Connection) -> None:
+        with contextlib.suppress(OSError):  # not in epoll while it waits for memory
+            self._epoll.unregister(connection.fileno())
+
+    def _resume_waiting(self) -> None:
+        """Read again from connections that get memory for their bodies; reject those that keep it without sending."""
+        now = time.monotonic_ns()
+        for connection in self.bodies.grant():
+            connection.read_at = now
+            self._watch(connection)
+        for connection in self.bodies.stalled(now - _SLOW_NS):
+            self._reject_and_linger(connection, 408, "the request did not come in time")
 
     def _close_idle(self) -> None:
         """Close connections parked between two requests; a request that has arrived unread is read first."""
@@ -346,16 +377,14 @@
 
     def _unpark(self, connection: Connection) -> None:
         if self._parked.pop(connection.fileno(), None) is not None:
-            with contextlib.suppress(OSError):
-                self._epoll.unregister(connection.fileno())
+            self._unwatch(connection)
 
     def _close_with(self, connection: Connection, close: Callable[[], None]) -> None:
         self._unpark(connection)
         if connection.closed:
             return
         close()
-        connection.partial_body_bytes = 0
-        self._update_body_bytes(connection)
+        self._free_body(connection)
         with self._lock:
             self.connections -= 1
 
@@ -374,18 +403,22 @@
             connection.write(self._rejection_response(status, reason))
         self._close_answered(connection)
 
-    def _update_body_bytes(self, connection: Connection) -> None:
-        """Update the total of incomplete body bytes."""
-        with self._lock:
-            self._partial_body_bytes += connection.partial_body_bytes - connection.counted_body_bytes
-            connection.counted_body_bytes = connection.partial_body_bytes
+    def _free_body(self, connection: Connection) -> bool:
+        """Free what was read of a body that will not be served; return whether the connection waited for memory."""
+        connection.discard_body()
+        return self.bodies.stop_reading(connection)
 
     def _read_parked(self, connection: Connection) -> None:
         if connection.linger_until:
             self._discard_input(connection)
             return
+        size = self.bodies.readable_bytes(connection)
+        if size == 0:
+            connection.unread_since = connection.unread_since or time.monotonic_ns()
+            self._unwatch(connection)
+            return
         try:
-            data = sockets.receive(connection.sock, _READ_BYTES)
+            data = sockets.receive(connection.sock, size)
         except (BlockingIOError, sockets.ResourceExhausted):
             return  # still readable: epoll reports it again
         except OSError:
@@ -401,12 +434,12 @@
         except ClientDisconnected:
             self._reset(connection)
             return
-        self._update_body_bytes(connection)
         if request is not None:
+            self.bodies.stop_reading(connection)
             self._unpark(connection)
             self._hand_over(connection, request)
-        elif self._partial_body_bytes > _MAX_PARTIAL_BODY_BYTES and connection.partial_body_bytes:
-            self._reject_and_linger(connection, 503, "too many request bodies are on their way")
+        elif self.bodies.exceeds_reservation(connection):
+            self._reject_and_linger(connection, 503, "the body takes more memory than this instance has for bodies")
 
     def _reject_and_linger(self, connection: Connection, status: int, reason: str) -> None:
         """Reject a request, and close once the client has had time to read the response.
@@ -414,8 +447,7 @@
         A client may still be sending; closing at once would reset the connection and lose the response, so input is
         discarded for a while (RFC 9112, section 9.6).
         """
-        connection.partial_body_bytes = 0
-        self._update_body_bytes(connection)
+        waited = self._free_body(connection)
         try:
             connection.write(self._rejection_response(status, reason))
             connection.sock.shutdown(socket.SHUT_WR)
@@ -425,6 +457,8 @@
         connection.linger_until = time.monotonic_ns() + _LINGER_NS
         if self._parked.get(connection.fileno()) is not connection:
             self._queue_for_parking(connection)
+        elif waited:
+            self._watch(connection)
 
     def _discard_input(self, connection: Connection) -> None:
         """Discard input that a client still sends."""
@@ -439,7 +473,11 @@
             self._close(connection)
 
     def _hand_over(self, connection: Connection, request: HttpRequest) -> None:
-        """Pass the request to a worker, or reject it when none is available."""
+        """Pass the request to a worker, or reject it when none is available or bodies take too much memory."""
+        if not self.bodies.start_serving(connection, request):
+            self._reject_request(connection, "requests take all memory")
+            return
+        job = _Job(connection, request)
         with self._lock:
             if self._idle_workers > 0:
                 self._idle_workers -= 1
@@ -451,7 +489,7 @@
                 start_thread = None
         if start_thread:
             try:
-                threading.Thread(target=self._run_worker, args=(connection, request), daemon=True).start()
+                threading.Thread(target=self._run_worker, args=(job,), daemon=True).start()
                 return
             except (RuntimeError, OSError, MemoryError) as error:
                 with self._lock:
@@ -459,10 +497,15 @@
                 self._log(f"out of threads: {error}")
                 start_thread = None
         if start_thread is None:
-            self.rejected += 1
-            self._reject_and_linger(connection, 503, "all workers are busy")
+            self._reject_request(connection, "all workers are busy")
             return
-        self._jobs.put((connection, request))
+        self._jobs.put(job)
+
+    def _reject_request(self, connection: Connection, reason: str) -> None:
+        """Reject a request that no worker serves."""
+        self.bodies.stop_serving(connection)
+        self.rejected += 1
+        self._reject_and_linger(connection, 503, reason)
 
     def _close_overdue(self) -> None:
         now = time.monotonic_ns()
@@ -487,7 +530,7 @@
 
     # Worker threads.
 
-    def _run_worker(self, connection: Connection, request: HttpRequest) -> None:
+    def _run_worker(self, first: _Job) -> None:
         with self._lock:
             owns_descriptor = self._waker_descriptors < self._max_waker_descriptors
             self._waker_descriptors += owns_descriptor
@@ -498,13 +541,12 @@
             with self._lock:
                 self.workers -= 1
                 self._waker_descriptors -= owns_descriptor
-            self.rejected += 1
-            self._reject_and_linger(connection, 503, "no descriptor is free")
+            self._reject_request(first.connection, "no descriptor is free")
             return
         try:
-            job: tuple[Connection, HttpRequest] | None = (connection, request)
+            job: _Job | None = first
             while job is not None:
-                self._serve_connection(*job, waker)
+                self._serve_connection(job, waker)
                 with self._lock:
                     self._idle_workers += 1
                 try:
@@ -521,11 +563,16 @@
                 self.workers -= 1
                 self._waker_descriptors -= owns_descriptor
 
-    def _serve_connection(self, connection: Connection, request: HttpRequest, waker: Waker) -> None:
+    def _serve_connection(self, job: _Job, waker: Waker) -> None:
         """Run the request, and those that follow at once on the same connection."""
-        following: HttpRequest | None = request
-        while following is not None and self._serve_request(connection, following, waker):
-            following = self._next_request(connection)
+        while job.request is not None:
+            try:
+                keep = self._serve_request(job.connection, job.request, waker)
+            finally:
+                job.request = None
+                self.bodies.stop_serving(job.connection)
+            if keep:
+                job.request = self._next_request(job.connection)
 
     def _serve_request(self, connection: Connection, request: HttpRequest, waker: Waker) -> bool:
         """Run one request; return whether its connection stays open."""
@@ -555,7 +602,7 @@
             following = connection.feed(b"")
             wait = 0 if self.state.draining else _NEXT_REQUEST_WAIT_MS
             if following is None and connection.reader.idle and sockets.readable(connection.sock, wait):
-                data = sockets.receive(connection.sock, _READ_BYTES)
+                data = sockets.receive(connection.sock, self.bodies.readable_bytes(connection))
                 if not data:
                     self._close(connection)
                     return None
@@ -569,8 +616,10 @@
             self._close(connection)
             return None
         if following is None:
-            self._update_body_bytes(connection)
             self._queue_for_parking(connection)
+        elif not self.bodies.start_serving(connection, following):
+            self._reject_request(connection, "requests take all memory")
+            return None
         return following
 
 
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -203,6 +203,11 @@
         """Whether no byte of a message is buffered or parsed since the last message ended."""
         return self._state is _State.HEAD and not self._lines and not self._buffer
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that were received and not parsed yet."""
+        return len(self._buffer)
+
     @property
     def state(self) -> str:
         """The part of the message that is expected next, for errors and logs."""
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -96,10 +96,10 @@
 class Program:
     """The node as a process of its own, with its configuration in a file."""
 
-    def __init__(self, emulated_platform: Platform, folder: Path) -> None:
+    def __init__(self, emulated_platform: Platform, folder: Path, **limits: Any) -> None:
         self.path = folder / "config.json"
-        self.path.write_bytes(emulated_platform.config())
-        env = {**os.environ, "EDGE_CONFIG": str(self.path)}
+        self.path.write_bytes(emulated_platform.config(**limits))
+        env = {**os.environ, "EDGE_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "1"}  # as in deploy/balancer.toml
         self.process = subprocess.Popen([sys.executable, "-m", "stonetrack", "edge"], env=env, stderr=subprocess.PIPE)
         assert wait_for(lambda: is_serving(emulated_platform.listen)), "the node did not start in time"
 
@@ -115,8 +115,8 @@
 
 
 @contextmanager
-def program(emulated_platform: Platform, folder: Path) -> Iterator[Program]:
-    node_process = Program(emulated_platform, folder)
+def program(emulated_platform: Platform, folder: Path, **limits: Any) -> Iterator[Program]:
+    node_process = Program(emulated_platform, folder, **limits)
     try:
         yield node_process
     finally:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from stonetrack.frontend.body_memory import BodyLimits
 from stonetrack.frontend.connection import Connection, HostState, HttpRequest
 from stonetrack.frontend.host import Host, listen, plain_response
 from stonetrack.node import sockets
@@ -31,19 +32,22 @@
 class BareHost:
     """A host without a node; each request is answered with its path."""
 
-    def __init__(self, **limits: int) -> None:
+    def __init__(self, body_limits: BodyLimits | None = None, **limits: int) -> None:
         self.listener = listen("127.0.0.1", 0, 64)
         self.port = self.listener.getsockname()[1]
         self.paths: list[str] = []
+        self.requests: list[tuple[str, int, float]] = []  # path, bytes of the body, seconds that count before its end
         self.logged: list[str] = []
         self.wait = threading.Event()
         self.wait.set()
         self.host = Host(
             self.listener, Limits(**limits), Timing(idle_ms=60_000), self.handle,
-            lambda status, why: plain_response(status, why.encode(), keep=False), self.logged.append)  # fmt: skip
+            lambda status, why: plain_response(status, why.encode(), keep=False), self.logged.append,
+            body_limits=body_limits)  # fmt: skip
 
     def handle(self, connection: Connection, request: HttpRequest, waker: Waker) -> bool:
         self.paths.append(request.head.path)
+        self.requests.append((request.head.path, len(request.body), (request.completed - request.timed_from) / 1e9))
         self.wait.wait(5.0)
         keep = request.head.keep_alive and not connection.closes_after_response
         connection.write(plain_response(200, request.head.path.encode(), keep=keep))
@@ -51,8 +55,8 @@
 
 
 @contextmanager
-def bare_host(**limits: int) -> Iterator[BareHost]:
-    bare = BareHost(**limits)
+def bare_host(body_limits: BodyLimits | None = None, **limits: int) -> Iterator[BareHost]:
+    bare = BareHost(body_limits, **limits)
     bare.host.start()
     try:
         yield bare
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -293,6 +293,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("sockets", "memory"),
+    [(256, 32), (512, 64), (512, 96), (768, 112), (960, 112), (896, 120), (1_056, 120), (1_024, 192)],
+)
+def test_memory_shares_never_exceed_the_limit(sockets: int, memory: int) -> None:
+    """Guards against a node that is killed for the bodies of requests, each of them within its own bound."""
+    shares = budget.divide_budget(sockets, memory)
+    bodies = shares.bodies
+    assert min(bodies.reading, bodies.serving) >= budget.MAX_BODY_BYTES and bodies.unreserved >= 16_384
+    assert (
+        budget.BASE_BYTES
+        + shares.requests * budget.BYTES_PER_REQUEST_WITHOUT_BODY
+        + shares.clients * bodies.unreserved
+        + bodies.reading
+        + bodies.serving
+        <= memory * 1_000_000
+    )
+
+
 @pytest.mark.parametrize("memory", [40, 192])
 def test_the_smallest_machine_has_a_request_slot_for_each_connection_of_usual_clients(memory: int) -> None:
     """Clients may have a third of the descriptors less the fixed ones; with fewer request slots, half of a scenario
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -182,6 +182,17 @@
     assert outcome(sent.process_io()) is Outcome.FULL
 
 
+def test_an_attempt_that_was_sent_keeps_no_copy_of_its_request() -> None:
+    """Guards against holding each body twice for as long as its engine works."""
+    data = bytearray(b"x" * 100)
+    sent, engine_side, _ = attempt(data)  # type: ignore[arg-type]
+    with pytest.raises(BufferError):
+        data.clear()
+    sent.push()
+    data.clear()  # no view of it is left
+    engine_side.close()
+
+
 def test_abort_waits_for_the_engine_up_to_the_cancel_timeout() -> None:
     sent, engine_side, _ = attempt(cancel_timeout=5.0)
     order: list[str] = []
