Second answers: probes need no rest, and only 204 acknowledges a release

An answer under 500 counted as the proof that an engine took a release; an earlier call's answer on the same connection could be it. The page says 204: any other answer now sends the release again (test_a_release_is_acknowledged_by_204_alone: [200] before, [200, 204] after).

A load report sent again fails an attempt and serves nobody, so a connection that carried a probe, like one opened ahead, is ready at once.

--- a/stonetrack/edge/calls.py
+++ b/stonetrack/edge/calls.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from stonetrack.edge.engine_table import Engine
-from stonetrack.engines.pool import ConnectionPool
+from stonetrack.engines.pool import Carried, ConnectionPool
 from stonetrack.node.sockets import ResourceExhausted, close, reset
 from stonetrack.wire import http1
 from stonetrack.wire.errors import ProtocolError
@@ -70,7 +70,7 @@
         """Monotonic time in seconds at which an engine last answered on the shared pool; 0 if it never did."""
         return self._pool.last_response_at(engine.host, engine.port)
 
-    def call(self, engine: Engine, message: bytes, timeout: float) -> Answer:
+    def call(self, engine: Engine, message: bytes, timeout: float, carried: Carried = Carried.REQUEST) -> Answer:
         """Call an engine; returns its answer.  Raises OSError; the engine then counts as suspect for ``SUSPECT_NS``."""
         try:
             sock, age = self._pool.acquire(engine.host, engine.port, min(self._connect_timeout, timeout))
@@ -89,7 +89,7 @@
             self.suspect_until[engine.name] = self._clock() + SUSPECT_NS
             raise
         if answer.reusable:
-            self._pool.put_back(engine.host, engine.port, sock)
+            self._pool.put_back(engine.host, engine.port, sock, carried)
         else:
             close(sock)
         return answer
--- a/stonetrack/edge/probes.py
+++ b/stonetrack/edge/probes.py
@@ -14,6 +14,7 @@
 from stonetrack.edge.calls import EngineCalls
 from stonetrack.edge.engine_table import Engine
 from stonetrack.edge.exchange import LOAD_HEADER, ParseLoadReport, load_report_pairs
+from stonetrack.engines.pool import Carried
 from stonetrack.node.sockets import ResourceExhausted
 from stonetrack.node.threads import restarting_thread
 from stonetrack.wire import writer
@@ -70,7 +71,7 @@
             message = writer.request("GET", PATH, [("Host", f"{engine.host}:{engine.port}")])
             report = None
             try:
-                answer = self._calls.call(engine, message, TIMEOUT_S)
+                answer = self._calls.call(engine, message, TIMEOUT_S, Carried.PROBE)
             except ResourceExhausted:
                 outcome = api.Outcome.NOT_SENT
             except TimeoutError:
--- a/stonetrack/edge/releases.py
+++ b/stonetrack/edge/releases.py
@@ -29,6 +29,7 @@
 from stonetrack.wire import writer
 
 PATH = "/kv/leases/"
+_RELEASED = 204  # the status of every engine that took a release (protocol)
 RELEASE_TIMEOUT_S = 0.12  # where any engine may answer; after that the next one is tried
 OWN_RELEASE_TIMEOUT_S = 1.0  # where one engine has to answer: a stopped engine answers pending calls once it resumes
 RELEASE_WAIT_S = 0.3  # an attempt waits so long for an older release of its request: time for two tries
@@ -163,9 +164,10 @@
         """Send one release and record its result.  Raises OSError."""
         message = writer.request("DELETE", PATH + request_id, [("Host", f"{engine.host}:{engine.port}")], None)
         status = self._calls.call(engine, message, timeout).head.status
-        step = Step.RELEASE_HEARD if status < 500 else Step.RELEASE_UNHEARD
+        heard = status == _RELEASED
+        step = Step.RELEASE_HEARD if heard else Step.RELEASE_UNHEARD
         self._note(request_id, step, engine.name, why=str(status), decided_at=decided_at)
-        return ReleaseResult.DONE if status < 500 else ReleaseResult.RETRY
+        return ReleaseResult.DONE if heard else ReleaseResult.RETRY
 
     def _note(self, request_id: str, step: Step, engine: str = "", why: str = "", decided_at: int = 0) -> None:
         if self._records is not None:
--- a/stonetrack/engines/client.py
+++ b/stonetrack/engines/client.py
@@ -10,7 +10,7 @@
 from stonetrack.engines import protocol
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.background_calls import BackgroundCalls
-from stonetrack.engines.pool import ConnectionPool
+from stonetrack.engines.pool import Carried, ConnectionPool
 from stonetrack.engines.server_list import Engine
 from stonetrack.node.ports import Attempt, AttemptResult, InferenceRequest
 from stonetrack.node.sockets import ResourceExhausted, reset
@@ -147,7 +147,7 @@
             sock, _ = self.pool.acquire(engine.host, engine.port, self._connect_timeout)
         except OSError:
             return False
-        self.pool.put_back(engine.host, engine.port, sock, answered=False)
+        self.pool.put_back(engine.host, engine.port, sock, Carried.NOTHING)
         return True
 
     def close(self, wait: float = 1.0) -> None:
--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -35,17 +35,25 @@
     UNSOLICITED = "unsolicited"  # the engine sent bytes that answer no request
 
 
+class Carried(Enum):
+    """What the last exchange on a connection was."""
+
+    NOTHING = "nothing"  # it was opened ahead
+    PROBE = "probe"  # a load report sent again is no answer to a request: it fails an attempt, and serves nobody
+    REQUEST = "request"
+
+
 @dataclass(frozen=True, slots=True)
 class _Idle:
     """An idle connection; ``since`` is in seconds of the monotonic clock."""
 
     sock: socket.socket
     since: float
-    answered: bool  # whether an answer was read on it; False for one that has carried no request
+    carried: Carried
 
     def rested(self, now: float, delay: float) -> bool:
-        """Whether nothing that follows the last answer can still arrive, if that takes ``delay`` seconds at most."""
-        return not self.answered or now - self.since >= delay
+        """Whether no second answer that can be mistaken may follow, if that takes ``delay`` seconds at most."""
+        return self.carried is not Carried.REQUEST or now - self.since >= delay
 
 
 class ConnectionPool:
@@ -149,14 +157,14 @@
             close(sock)
         return sock is not None
 
-    def put_back(self, host: str, port: int, sock: socket.socket, answered: bool = True) -> None:
-        """Return a connection whose last answer was read to its end; not ``answered``: one not used since acquired."""
+    def put_back(self, host: str, port: int, sock: socket.socket, carried: Carried = Carried.REQUEST) -> None:
+        """Return a connection whose last answer was read to its end."""
         now = time.monotonic()
         with self._lock:
-            if answered:
+            if carried is not Carried.NOTHING:
                 self._last_response[host, port] = now
             idle = self._idle.setdefault((host, port), deque())
-            idle.append(_Idle(sock, now, answered))
+            idle.append(_Idle(sock, now, carried))
             self._count += 1
             stale = self._pop_stale(idle, now)
             if self._count > self._max_total:  # close the connection that has been idle for longest
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -23,7 +24,7 @@
 from stonetrack.edge.probes import Probes
 from stonetrack.edge.releases import Releases
 from stonetrack.edge.serve import ACCEPTING_S
-from stonetrack.engines.pool import ConnectionPool
+from stonetrack.engines.pool import Carried, ConnectionPool
 from stonetrack.logic import MS, SECOND
 from stonetrack.node.invariants import Invariant
 from stonetrack.node.ports import AttemptResult, InferenceRequest
@@ -197,7 +198,9 @@
             raise TimeoutError("timed out")
 
     class FirstCallTimesOut(EngineCalls):
-        def call(self, engine: engine_table.Engine, message: bytes, timeout: float) -> Answer:
+        def call(
+            self, engine: engine_table.Engine, message: bytes, timeout: float, carried: Carried = Carried.REQUEST
+        ) -> Answer:
             if not timed_out.is_set():
                 timed_out.set()
                 time.sleep(timeout)
@@ -227,11 +230,13 @@
         reachable = threading.Event()
         real_call = edge_node.calls.call
 
-        def call(engine: engine_table.Engine, message: bytes, timeout: float) -> Answer:
+        def call(
+            engine: engine_table.Engine, message: bytes, timeout: float, carried: Carried = Carried.REQUEST
+        ) -> Answer:
             if message.startswith(b"DELETE") and not reachable.is_set():
                 time.sleep(timeout)
                 raise TimeoutError("timed out")
-            return real_call(engine, message, timeout)
+            return real_call(engine, message, timeout, carried)
 
         edge_node.calls.call = call  # type: ignore[method-assign]
         edge_node.releases.release("q")
@@ -249,6 +254,26 @@
         assert wait_for(lambda: [what for what, _ in world.calls_for("q")] == ["release", "read"])
 
 
+def test_a_release_is_acknowledged_by_204_alone() -> None:
+    """Guards against taking an earlier call's answer on the same connection for the proof that a state was released."""
+    with platform(1, 1) as world, node(world) as edge_node:
+        statuses: list[int] = []
+        real_call = edge_node.calls.call
+
+        def call(
+            engine: engine_table.Engine, message: bytes, timeout: float, carried: Carried = Carried.REQUEST
+        ) -> Answer:
+            answer = real_call(engine, message, timeout, carried)
+            if message.startswith(b"DELETE"):
+                statuses.append(200 if not statuses else answer.head.status)
+                return replace(answer, head=replace(answer.head, status=statuses[-1]))
+            return answer
+
+        edge_node.calls.call = call  # type: ignore[method-assign]
+        edge_node.releases.release("q")
+        assert wait_for(lambda: not edge_node.releases.open) and statuses == [200, 204]
+
+
 def test_a_release_is_sent_while_its_requests_thread_connects() -> None:
     """Guards against handing the release to a thread that is connecting, which lasts longer than the release time."""
     with platform(1, 2) as world, node(world) as edge_node:
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -22,7 +22,7 @@
 from stonetrack.engines.attempt import SocketAttempt
 from stonetrack.engines.idle_timeouts import IdleTimeouts
 from stonetrack.engines.list_source import ListSource
-from stonetrack.engines.pool import ConnectionPool, Discarded
+from stonetrack.engines.pool import Carried, ConnectionPool, Discarded
 from stonetrack.engines.release_queue import PendingRelease, ReleaseQueue, ReleaseResult
 from stonetrack.engines.reuse_delay import MIN_DELAY_S, ReuseDelay
 from stonetrack.engines.server_list import ListError, ServerListState
@@ -272,14 +272,15 @@
         sock.close()
 
 
-def test_an_unused_connection_is_ready_at_once() -> None:
-    """Guards against a first request that waits for a new connection beside the one opened ahead for it."""
+@pytest.mark.parametrize("carried", [Carried.NOTHING, Carried.PROBE])
+def test_a_connection_that_carried_no_request_is_ready_at_once(carried: Carried) -> None:
+    """Guards against a request that opens a connection beside the one opened ahead, or just probed, for it."""
     server = listening()
     host, port = server.getsockname()
     pool = ConnectionPool(4, idle_timeout=60.0)
     sock, _ = pool.acquire(host, port, 1.0)
-    pool.put_back(host, port, sock, answered=False)
-    assert pool.last_response_at(host, port) == 0.0
+    pool.put_back(host, port, sock, carried)
+    assert (pool.last_response_at(host, port) > 0.0) is (carried is Carried.PROBE)
     again, age = pool.acquire(host, port, 1.0)
     assert again is sock and age is not None
     sock.close()
