Reuse delay: closes right behind an answer also follow the answers to probes

It holds again (test_reuse_delay_holds_whatever_a_connection_carried: failed for PROBE and NOTHING before this change).

--- a/stonetrack/engines/pool.py
+++ b/stonetrack/engines/pool.py
@@ -114,7 +114,7 @@
             return None
         if learned := self.reuse_delay.learned(now):
             index = 0
-            usable = idle[0].rested(now, max(learned, MIN_DELAY_S))
+            usable = now - idle[0].since >= learned and idle[0].rested(now, MIN_DELAY_S)
         else:
             index = next((n for n in reversed(range(len(idle))) if idle[n].rested(now, MIN_DELAY_S)), -1)
             usable = index >= 0 and (now - idle[index].since <= reuse_limit or not self.idle_timeouts.adaptive)
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -377,6 +377,23 @@
     assert delay.learned(30.5) == 0.0  # the first failure has expired
 
 
+@pytest.mark.parametrize("carried", list(Carried))
+def test_reuse_delay_holds_whatever_a_connection_carried(carried: Carried) -> None:
+    """Guards against a request on a connection that its engine closes right behind the answer to a probe."""
+    server = listening()
+    host, port = server.getsockname()
+    pool = ConnectionPool(4, idle_timeout=60.0)
+    first = pool.acquire(host, port, 1.0)[0]
+    for _ in range(2):
+        pool.record_unanswered(0.5)
+    pool.put_back(host, port, first, carried)
+    other, age = pool.acquire(host, port, 1.0)
+    assert age is None and pool.idle_count(host, port) == 1
+    other.close()
+    pool.close()
+    server.close()
+
+
 def test_pool_with_reuse_delay_takes_the_oldest_or_opens_a_connection() -> None:
     server = listening()
     host, port = server.getsockname()
