Keep the body of a request in one buffer, and say in the docs what ends a release

One buffer holds it now (test_a_body_in_many_small_chunks_takes_no_more_memory_than_its_bytes fails before).

--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -81,7 +81,7 @@
         self.partial_body_bytes = 0  # of an incomplete body
         self._head: http1.RequestHead | None = None
         self._head_read_at = 0
-        self._body: list[bytes] = []
+        self._body = bytearray()
 
     def fileno(self) -> int:
         """Return the socket's descriptor, -1 once closed."""
@@ -95,15 +95,15 @@
             self.request_started_at = self.request_started_at or now
         for event in self.reader.feed(data, messages=1):
             if isinstance(event, http1.RequestHead):
-                self._head, self._head_read_at, self._body, self.partial_body_bytes = event, now, [], 0
+                self._head, self._head_read_at, self._body, self.partial_body_bytes = event, now, bytearray(), 0
                 if event.headers.get("expect").lower() == "100-continue" and event.length != 0:
                     self.write(_CONTINUE)
             elif isinstance(event, http1.Data):
-                self._body.append(event.data)
+                self._body += event.data  # a list of many small chunks would take many times their size
                 self.partial_body_bytes += len(event.data)
             elif isinstance(event, http1.End) and self._head is not None:
                 timed_from = self.unread_since or now
-                request = HttpRequest(self._head, b"".join(self._body), self._head_read_at, now, timed_from)
+                request = HttpRequest(self._head, bytes(self._body), self._head_read_at, now, timed_from)
                 self.discard_body()
                 self.request_started_at = self.unread_since = 0
                 self.requests_read += 1
@@ -115,7 +115,7 @@
 
     def discard_body(self) -> None:
         """Free the body read so far."""
-        self._head, self._body, self.partial_body_bytes = None, [], 0
+        self._head, self._body, self.partial_body_bytes = None, bytearray(), 0
 
     @property
     def body_length(self) -> int | None:
--- a/stonetrack/node/obligations.py
+++ b/stonetrack/node/obligations.py
@@ -97,7 +97,7 @@
     Row(
         Obligation.RELEASE,
         "it is decided",
-        "the engine that was called answers it, below 500, on the call's connection",
+        "the engine that was called answers it with 204 on the call's connection",
         "that of what it releases; before the next attempt of its request",
         ("stonetrack.edge.releases:Releases.try_any_engine", "stonetrack.edge.releases:Releases.await_release"),
         (LEDGER + "note", ENGINES + "release"),
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -5,6 +5,7 @@
 import gc
 import re
 import socket
+import sys
 import threading
 import time
 from collections import Counter
@@ -83,6 +84,14 @@
     assert memory.reserved_bytes == 0 and memory.waiting == 0
 
 
+def test_a_body_in_many_small_chunks_takes_no_more_memory_than_its_bytes() -> None:
+    """Guards against bodies that take many times the bytes that are counted for them."""
+    connection = connection_awaiting(None)
+    connection.feed(b"2;a\r\nxy\r\n" * 8_000)
+    assert connection.partial_body_bytes == 16_000 and sys.getsizeof(connection._body) < 2 * 16_000
+    connection.close()
+
+
 def test_waiting_connections_are_granted_in_order_and_stalled_ones_are_told() -> None:
     memory = BodyMemory(SMALL, MAX_BODY)
     first, second, third = (connection_awaiting(MAX_BODY) for _ in range(3))
@@ -119,7 +128,7 @@
         large = open_client(bare, "/large", MAX_BODY, MAX_BODY)
         assert large.answer()[1] == b"/large"  # each of those before it keeps its memory for half a second
         assert [each.answer()[0].status for each in bad] == [408] * 6 and bare.host.bodies.reserved_bytes == 0
-        assert not sum(each.partial_body_bytes + sum(map(len, each._body)) for each in bare.host._parked.values())
+        assert not sum(each.partial_body_bytes + len(each._body) for each in bare.host._parked.values())
 
 
 def test_a_large_body_that_waited_for_memory_is_read_whole_and_its_time_counts_from_the_wait() -> None:
