Body memory: one share for both bounds, and the bytes of a body told by its buffer

Change: _Share keeps one account; partial_body_bytes is derived; the rest inline. Behaviour, bounds and tests are as they were.

--- a/stonetrack/edge/metrics.py
+++ b/stonetrack/edge/metrics.py
@@ -45,15 +45,12 @@
         yield self._counter(
             "abandoned_reads", "Reads that ended without a word, by what became of them", "what", abandoned
         )
+        discarded = {each: self._node.pool.discarded[each] for each in Discarded}
         yield self._counter(
-            "discarded_connections", "Idle connections to engines that could not be reused", "why", self._discarded()
+            "discarded_connections", "Idle connections to engines that could not be reused", "why", discarded
         )
         yield self._gauges()
 
-    def _discarded(self) -> dict[Any, int]:
-        counts = self._node.pool.discarded
-        return {reason: counts[reason] for reason in Discarded}
-
     @staticmethod
     def _counter(name: str, help_text: str, label: str, counts: Counter[Any] | dict[Any, int]) -> Any:
         from prometheus_client.core import CounterMetricFamily
--- a/stonetrack/frontend/body_memory.py
+++ b/stonetrack/frontend/body_memory.py
@@ -29,6 +29,27 @@
     serving: int = 1 << 40
 
 
+class _Share:
+    """A bounded number of bytes, divided among connections.  Requires the lock of its owner."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+        self.sizes: dict[Connection, int] = {}  # in the order in which they were taken
+
+    def take(self, connection: Connection, size: int) -> bool:
+        """Take ``size`` bytes for a connection; returns False, and takes nothing, if that would exceed the limit."""
+        if self.used + size > self.limit:
+            return False
+        self.sizes[connection] = size
+        self.used += size
+        return True
+
+    def give_back(self, connection: Connection) -> None:
+        """Give back what a connection has taken, if anything."""
+        self.used -= self.sizes.pop(connection, 0)
+
+
 class BodyMemory:
     """Reservations for bodies that are read, and the bytes of requests that are served.  Thread-safe.
 
@@ -36,22 +57,20 @@
     """
 
     def __init__(self, limits: BodyLimits, max_body: int) -> None:
-        self._limits, self._max_body = limits, max_body
+        self._unreserved, self._max_body = limits.unreserved, max_body
         self._lock = threading.Lock()
-        self._reserved: dict[Connection, int] = {}  # bytes, in the order of the reservations
-        self._waiting: dict[Connection, bool] = {}  # always True; in the order of arrival
-        self._served: dict[Connection, int] = {}  # bytes
-        self._reserved_bytes = self._served_bytes = 0
+        self._reserved, self._served = _Share(limits.reading), _Share(limits.serving)
+        self._waiting: dict[Connection, None] = {}  # in the order of arrival
 
     @property
     def reserved_bytes(self) -> int:
         """All reservations."""
-        return self._reserved_bytes
+        return self._reserved.used
 
     @property
     def served_bytes(self) -> int:
         """The bytes counted for all requests that are served."""
-        return self._served_bytes
+        return self._served.used
 
     @property
     def waiting(self) -> int:
@@ -61,13 +80,13 @@
     def readable_bytes(self, connection: Connection) -> int:
         """The number of bytes that may be read from a connection now; 0 if it has to wait for a reservation."""
         with self._lock:
-            if not connection.awaits_body or connection in self._reserved:
-                return self._limits.unreserved
-            if (left := self._limits.unreserved - connection.partial_body_bytes) > 0:
+            if not connection.awaits_body or connection in self._reserved.sizes:
+                return self._unreserved
+            if (left := self._unreserved - connection.partial_body_bytes) > 0:
                 return left
             if not self._waiting and self._reserve(connection):
-                return self._limits.unreserved
-            self._waiting[connection] = True
+                return self._unreserved
+            self._waiting[connection] = None
             return 0
 
     def grant(self) -> list[Connection]:
@@ -86,39 +105,33 @@
         with self._lock:
             if not self._waiting:
                 return []
-            return [connection for connection in self._reserved if connection.read_at < before]
+            return [connection for connection in self._reserved.sizes if connection.read_at < before]
 
     def stop_reading(self, connection: Connection) -> bool:
         """A body is complete or will not be read any further: give back its reservation; returns whether it waited."""
         with self._lock:
-            self._reserved_bytes -= self._reserved.pop(connection, 0)
-            return self._waiting.pop(connection, False)
+            self._reserved.give_back(connection)
+            waited = connection in self._waiting
+            self._waiting.pop(connection, None)
+            return waited
 
     def start_serving(self, connection: Connection, request: HttpRequest) -> bool:
         """Count a request that is about to be served; returns False if that would exceed the bound."""
         size = _SERVED_COPIES * len(request.body) + connection.reader.buffered_bytes
         with self._lock:
-            if self._served_bytes + size > self._limits.serving:
-                return False
-            self._served[connection] = size
-            self._served_bytes += size
-            return True
+            return self._served.take(connection, size)
 
     def stop_serving(self, connection: Connection) -> None:
         """The request has ended."""
         with self._lock:
-            self._served_bytes -= self._served.pop(connection, 0)
+            self._served.give_back(connection)
+
+    def exceeds_reservation(self, connection: Connection) -> bool:
+        """Whether more of a body was read than can be reserved."""
+        return connection.partial_body_bytes > self._reserved.limit
 
     def _reserve(self, connection: Connection) -> bool:
         """Requires the lock."""
         length = self._max_body if connection.body_length is None else connection.body_length
-        size = min(length, self._limits.reading)  # a body above the bound is read alone, and rejected there
-        if self._reserved_bytes + size > self._limits.reading:
-            return False
-        self._reserved[connection] = size
-        self._reserved_bytes += size
-        return True
-
-    def exceeds_reservation(self, connection: Connection) -> bool:
-        """Whether more of a body was read than can be reserved."""
-        return connection.partial_body_bytes > self._limits.reading
+        # A body above the bound is read alone, and rejected there.
+        return self._reserved.take(connection, min(length, self._reserved.limit))
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -51,7 +51,6 @@
         "request_started_at",
         "closed",
         "corked",
-        "partial_body_bytes",
         "linger_until",
         "parked_at",
         "pending",
@@ -78,7 +77,6 @@
         self.unread_since = (
             0  # monotonic ns: when the host stopped reading for the first time in this request; 0 if never
         )
-        self.partial_body_bytes = 0  # of an incomplete body
         self._head: http1.RequestHead | None = None
         self._head_read_at = 0
         self._body = bytearray()
@@ -95,12 +93,11 @@
             self.request_started_at = self.request_started_at or now
         for event in self.reader.feed(data, messages=1):
             if isinstance(event, http1.RequestHead):
-                self._head, self._head_read_at, self._body, self.partial_body_bytes = event, now, bytearray(), 0
+                self._head, self._head_read_at, self._body = event, now, bytearray()
                 if event.headers.get("expect").lower() == "100-continue" and event.length != 0:
                     self.write(_CONTINUE)
             elif isinstance(event, http1.Data):
                 self._body += event.data  # a list of many small chunks would take many times their size
-                self.partial_body_bytes += len(event.data)
             elif isinstance(event, http1.End) and self._head is not None:
                 timed_from = self.unread_since or now
                 request = HttpRequest(self._head, bytes(self._body), self._head_read_at, now, timed_from)
@@ -115,7 +112,12 @@
 
     def discard_body(self) -> None:
         """Free the body read so far."""
-        self._head, self._body, self.partial_body_bytes = None, bytearray(), 0
+        self._head, self._body = None, bytearray()
+
+    @property
+    def partial_body_bytes(self) -> int:
+        """Number of bytes read of an incomplete body."""
+        return len(self._body)
 
     @property
     def body_length(self) -> int | None:
