--- a/review/6/play.py
+++ b/review/6/play.py
@@ -10,7 +10,7 @@
 import rig2  # noqa: E402
 
 TIME_LEFT_MS, HANG_S, GRACE_S = 9_000, 12.0, 0.5
-FLOOD, CONNECTIONS, FLOOD_S = 4_300, 8, 5.0
+FLOOD, CONNECTIONS, FLOOD_S = 4_300, 8, 8.0
 
 
 def turned_away(fleet: rig2.Fleet, node: rig2.Node, stop: threading.Event, count: list[int]) -> None:
