--- a/review/rig2.py
+++ b/review/rig2.py
@@ -28,6 +28,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 CHAT = "/v1/chat/completions"
 CANNOT_RUN, BROKEN, HELD = 2, 1, 0
+LONGEST_S = 110.0
 
 
 class CannotRun(Exception):
@@ -484,7 +485,11 @@
             "listen": f"127.0.0.1:{port}",
             "discovery": fleet.discovery.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": int(changes.get("sockets", 512))},
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": int(changes.get("memory_mb", 192)),
+                "sockets": int(changes.get("sockets", 512)),
+            },
             "known": fleet.discovery.document(),
             "settings": fleet.settings(**changes),
         }
@@ -548,6 +553,15 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = Fleet(folder, **sizes)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
+
+    def too_long() -> None:
+        fleet.record(f"could not run: not over after {LONGEST_S:g} s")
+        fleet.close()
+        os._exit(CANNOT_RUN)
+
+    watchdog = threading.Timer(LONGEST_S, too_long)
+    watchdog.daemon = True
+    watchdog.start()
     code = CANNOT_RUN
     try:
         fleet.record(f"the disruption is {'on' if trouble else 'off'}")
