--- a/review/rig2.py
+++ b/review/rig2.py
@@ -318,7 +318,7 @@
             while True:
                 with self.changed:
                     targets = [t for rev, t in self.changes if rev > after]
-                    document = self.document(targets if after >= 41 else None)
+                    document = self.document(targets if 41 <= after <= self.rev else None)
                     self.fleet.record(f"{self.name}: writes rev {self.rev} with {len(document['targets'])} entries")
                     after = self.rev
                 sock.sendall(chunk(json.dumps(document).encode() + b"\n"))
