--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,48 +1,67 @@
-"""A client sends many requests at once on one connection; each is owed its answer by its own time."""
+"""Hundreds of bad clients take the node over its memory limit; the platform kills it then."""
 
+import contextlib
 import pathlib
+import signal
+import subprocess
 import sys
+import threading
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 import rig2  # noqa: E402
 
-REQUESTS, TIME_LEFT_MS, GRACE_S, SLACK_S = 16, 3_000, 0.5, 0.05
-
-
-def ask_at_once(fleet: rig2.Fleet, node: rig2.Node) -> list[rig2.Answer]:
-    """All requests in one write on one connection, then their answers in order."""
-    requests = [fleet.new_id() for _ in range(REQUESTS)]
-    sock = node.connect(20.0)
-    fleet.record(f"client: sends {REQUESTS} requests at once, {TIME_LEFT_MS} ms left for each: {' '.join(requests)}")
-    sock.sendall(b"".join(fleet.chat(TIME_LEFT_MS, request) for request in requests))
-    sent_at = fleet.record.now()
-    reader, answers = rig2.Reader(sock), []
-    for request in requests:
-        answer = rig2.read_answer(reader, fleet.record)
-        answer.request, answer.sent_at = request, sent_at
-        told = ", ".join(
-            f"{c.engine.name} told {c.told_ms:.0f} ms at {c.at - sent_at:.3f} s" for c in fleet.calls_for(request)
-        )
-        fleet.record(f"client: {request} got {answer} from {answer.first_at - sent_at:.3f} s on; {told}")
-        answers.append(answer)
-        if not answer.status or answer.headers.get("connection", "").lower() == "close":
-            break
-    sock.close()
-    return answers
+MEMORY_MB, SOCKETS = 64, 1_024
+BAD_CLIENTS, HEAD_BYTES, BODIES_BYTES = 400, 15_000, (14_000, 250_000)  # so many of each kind
+USUAL_CLIENTS, TIME_LEFT_MS, LENGTH_S = 6, 5_000, 14.0
+
+
+def resident_mb(pid: int) -> float:
+    """The resident memory of a process in MiB; 0 once it has ended."""
+    with contextlib.suppress(OSError):
+        for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+    return 0.0
 
 
 def play(fleet: rig2.Fleet, trouble: bool) -> list[str]:
-    node = fleet.start_node()
+    node = fleet.start_node(memory_mb=MEMORY_MB, sockets=SOCKETS)
     for writer in fleet.writers:
-        writer.events, writer.pause = 10, 0.04
-    answers = ask_at_once(fleet, node) if trouble else [fleet.ask(node, TIME_LEFT_MS) for _ in range(REQUESTS)]
-    broken = []
-    for answer in answers:
-        took = answer.first_at - answer.sent_at
-        if not answer.status or took > TIME_LEFT_MS / 1000 + GRACE_S + SLACK_S:
-            broken.append(f"lost: {answer.request} had {TIME_LEFT_MS / 1000} s and got {answer} after {took:.3f} s")
-    return broken
+        writer.events, writer.pause = 100, 0.06  # 100 tokens, the pace that the class wants
+    stop, answers = threading.Event(), []
+
+    def usual_client() -> None:
+        while not stop.is_set():
+            with contextlib.suppress(OSError):
+                answers.append(fleet.ask(node, TIME_LEFT_MS))
+            time.sleep(0.2)
+
+    usual = [rig2.spawn(usual_client) for _ in range(USUAL_CLIENTS)]
+    time.sleep(1.0)
+    fleet.record(f"the node holds {resident_mb(node.process.pid):.1f} MiB of {MEMORY_MB}")
+    for body_bytes in BODIES_BYTES if trouble else ():
+        arguments = [node.address[1], BAD_CLIENTS, LENGTH_S, HEAD_BYTES, body_bytes]
+        fleet.record(f"{BAD_CLIENTS} bad clients begin, heads of {HEAD_BYTES} and bodies of {body_bytes} bytes")
+        command = [sys.executable, "-B", str(HERE / "bad_clients.py"), *map(str, arguments)]
+        fleet.processes.append(subprocess.Popen(command, start_new_session=True))
+    most, over, until = 0.0, [], time.monotonic() + LENGTH_S
+    while time.monotonic() < until and not over:
+        most = max(most, now := resident_mb(node.process.pid))
+        if now > MEMORY_MB:
+            node.signal(signal.SIGKILL)
+            over.append(f"crash: the node held {now:.1f} MiB of {MEMORY_MB} and was killed")
+        time.sleep(0.02)
+    fleet.record(f"at most {most:.1f} MiB of {MEMORY_MB}; {len(answers)} requests of usual clients ended before")
+    stop.set()
+    for client in usual:
+        client.join(25)
+    if over:
+        over += [f"lost with the node: {a.request} got {a}" for a in answers if not a.whole]
+    elif trouble and (code := node.process.poll()) is not None:
+        over.append(f"crash: the node's process ended with {code}")
+    return over
 
 
 rig2.main(HERE, play)
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 python=.venv/bin/python
 [ -x "$python" ] || { echo "build-2: $python is missing: run the build of deploy/balancer.toml first" >&2; exit 1; }
-for file in review/rig2.py review/[0-9]*/play.py; do
+for file in review/rig2.py review/[0-9]*/play.py review/[0-9]*/bad_clients.py; do
     case $file in
         */\**) continue ;;
     esac
