An open request's id is never served a second time, whatever came since

Cause: the table of ids dropped the oldest beyond 4,096, and after 60 s from the arrival, whether or not its request was open. The second arrival replaced the first one's mailbox, so its thread waited for ever. Kin: Records dropped the records of open requests beyond 4,096, and with them the guard in front of each attempt; Core replaced mailboxes.

Change: an id is kept while its request runs and for 60 s after its end; ended requests that no engine saw have a bound of their own, so a flood of them displaces no id that ran. Records of running requests are kept. A second arrival of an open id is an error before the router sees it.

test_records_are_bounded opened records and never closed them: it asked that open ones be dropped, which is the fault. Its successor asks for the same bound with finished ones, and that the running one is kept.

--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -41,7 +41,9 @@
 from stonetrack.frontend.connection import Connection, HttpRequest
 from stonetrack.frontend.host import Host, listen
 from stonetrack.node.core import Core
+from stonetrack.node.ports import InferenceRequest
 from stonetrack.node.records import Records
+from stonetrack.node.request_lifecycle import RequestLifecycle
 from stonetrack.node.request_runner import Bounds, RequestRunner, Waker
 from stonetrack.settings.schema import Limits, Timing
 
@@ -211,20 +213,28 @@
             parsed = requests.parse_request(head, request.body, self.classes, waited_ns, self.clock(), self.tenants)
         except requests.BadRequest as error:
             return sink.respond(error.status, str(error))
+        request_id = parsed.request_id
         with self._request_ids_lock:
-            is_new = self._request_ids.add(parsed.request_id, self.clock())
+            is_new = self._request_ids.begin(request_id, self.clock())
         if not is_new:
-            return sink.respond(
-                409, f"request {parsed.request_id} has come before: every request needs an id of its own"
-            )
-        cls = self.config.settings.classes[parsed.class_index]
-        self.records.open(parsed.request_id, f"{cls.name} ({cls.effect.value})", cls.effect, parsed.body.deadline)
+            return sink.respond(409, f"request {request_id} has come before: every request needs an id of its own")
+        attempted = True  # also where the request ends with an exception
         try:
-            lifecycle = RequestRunner(self.core, self.engines, self.bounds, parsed, sink, waker, self.records).run()
+            lifecycle = self._run_request(parsed, sink, waker)
+            attempted = lifecycle.attempt_number >= 0
         finally:
-            self.records.close(parsed.request_id)
+            with self._request_ids_lock:
+                self._request_ids.end(request_id, attempted, self.clock())
         return sink.keep and not lifecycle.client_gone
 
+    def _run_request(self, request: InferenceRequest, sink: EdgeSink, waker: Waker) -> RequestLifecycle:
+        cls = self.config.settings.classes[request.class_index]
+        self.records.open(request.request_id, f"{cls.name} ({cls.effect.value})", cls.effect, request.body.deadline)
+        try:
+            return RequestRunner(self.core, self.engines, self.bounds, request, sink, waker, self.records).run()
+        finally:
+            self.records.close(request.request_id)
+
     # Signals.
 
     def reload(self, path: Path) -> None:
--- a/stonetrack/node/core.py
+++ b/stonetrack/node/core.py
@@ -25,6 +25,10 @@
 TIMER_RETRY_NS = 100_000_000  # delay after which a timer whose callback failed fires again
 
 
+class DuplicateRequest(ValueError):
+    """A request arrived with the id of an open one; frontends reject it before."""
+
+
 class RouterProtocol(Protocol):
     """What the core requires of ``stonetrack.logic.Router``."""
 
@@ -89,7 +93,10 @@
         return len(self._mailboxes)
 
     def accept_request(self, request: InferenceRequest, wake: Callable[[], None]) -> Mailbox:
-        """Accept a request: from now on it is owed one final answer."""
+        """Accept a request: from now on it is owed one final answer.
+
+        Raises DuplicateRequest if a request with its id is open: that one's thread would wait for its actions for ever.
+        """
         mailbox = Mailbox(request.request_id, wake)
         self.handle_event(
             api.RequestArrived(
@@ -146,6 +153,8 @@
         with self._lock:
             now = self.clock()
             if mailbox is not None:
+                if mailbox.request_id in self._mailboxes:
+                    raise DuplicateRequest(f"request {mailbox.request_id} is open")
                 self._mailboxes[mailbox.request_id] = mailbox
             if isinstance(event, api.ServerList):
                 self._note_list(event, now)
--- a/stonetrack/node/records.py
+++ b/stonetrack/node/records.py
@@ -16,7 +16,7 @@
 from stonetrack.node.invariants import Invariant, Ledger, Refusal, Violation
 from stonetrack.node.transitions import Step, Transition
 
-MAX_RECORDS = 4_096  # beyond this the oldest are dropped
+MAX_RECORDS = 4_096  # beyond this the oldest whose threads have finished are dropped
 MAX_STEPS = 48  # steps of one request in its log line: the first and the last half
 SECOND = 1_000_000_000
 MAX_LINES_PER_SECOND = 20  # log lines of requests; further ones are only counted
@@ -85,11 +85,21 @@
         record = Record(request, kind, now, Ledger(request, effect, deadline, self._release_within))
         with self._lock:
             self._records[request] = record
-            while len(self._records) > MAX_RECORDS:
-                self._records.popitem(last=False)
+            if len(self._records) > MAX_RECORDS:
+                self._drop_oldest_closed()
         self.note(request, Step.ARRIVED, why=f"{(deadline - now) / SECOND:.3f} s left")
         return record
 
+    def _drop_oldest_closed(self) -> None:
+        """Drop the oldest record whose thread has finished.  Requires the lock.
+
+        A running request keeps its record: without it, :meth:`may_begin` could not guard its attempts.  Their number is
+        bounded by their threads.
+        """
+        oldest = next((name for name, record in self._records.items() if record.closed), None)
+        if oldest is not None:
+            del self._records[oldest]
+
     def note(
         self,
         request: str,
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -323,16 +323,30 @@
     )
 
 
-def test_an_id_is_accepted_once_within_the_retention_time() -> None:
+@pytest.mark.parametrize("attempted", [True, False])
+def test_an_id_is_accepted_once_while_it_runs_and_within_the_retention_time(attempted: bool) -> None:
+    """Guards against the id of a stream that lasts for longer than the retention time being served again."""
     seen = request_ids.RecentRequestIds()
-    assert (
-        seen.add("a", 0) and not seen.add("a", request_ids.RETENTION_NS) and seen.add("a", request_ids.RETENTION_NS + 1)
-    )
-    for n in range(2 * request_ids.MAX_IDS):
-        assert seen.add(f"q{n}", request_ids.RETENTION_NS + 2)
-    assert len(seen) == request_ids.MAX_IDS and not seen.add(
-        f"q{2 * request_ids.MAX_IDS - 1}", request_ids.RETENTION_NS + 3
-    )
+    ended_at = 10 * request_ids.RETENTION_NS
+    assert seen.begin("a", 0) and not seen.begin("a", ended_at)
+    seen.end("a", attempted, ended_at)
+    assert not seen.begin("a", ended_at + request_ids.RETENTION_NS)
+    assert seen.begin("a", ended_at + 2 * request_ids.RETENTION_NS)
+
+
+@pytest.mark.parametrize("attempted", [True, False])
+def test_the_number_of_ids_is_bounded_and_running_and_attempted_ones_are_kept(attempted: bool) -> None:
+    """Guards against a flood of requests that displaces an id whose request is open, or has run (review case 6)."""
+    capacity = request_ids.MAX_ATTEMPTED_IDS if attempted else request_ids.MAX_REFUSED_IDS
+    seen = request_ids.RecentRequestIds()
+    assert seen.begin("running", 0) and seen.begin("ran", 0)
+    seen.end("ran", True, 0)
+    for n in range(3 * capacity):
+        assert seen.begin(f"q{n}", 1)
+        seen.end(f"q{n}", attempted, 1)
+        assert len(seen) <= capacity * (request_ids.GENERATIONS + 1) // request_ids.GENERATIONS + 2
+    assert not seen.begin("running", 2) and seen.begin("ran", 2) is attempted
+    assert not any(seen.begin(f"q{n}", 2) for n in range(2 * capacity, 3 * capacity))
 
 
 def test_a_release_goes_to_the_engine_that_answered_last() -> None:
--- a/tests/test_edge_serving.py
+++ b/tests/test_edge_serving.py
@@ -154,6 +154,26 @@
         assert world.calls_for("same") == before
 
 
+def test_a_running_requests_id_is_refused_after_a_flood_of_refused_requests() -> None:
+    """Guards against an open request that never gets its answer, since its id is served a second time: other clients'
+    short requests displaced the id (review case 6)."""
+    with platform() as world, node(world) as edge_node:
+        world.event_count, world.event_interval = 40, 0.25
+        first, flood = Client(world.listen), Client(world.listen)
+        first.send_request(b"{}", CHAT, headers=headers("same"))
+        assert wait_for(lambda: any(what == "write" for what, _ in world.calls_for("same")))
+        for start in range(0, 5_000, 20):
+            for n in range(start, start + 20):
+                flood.send_request(b"{}", CHAT, headers=headers(f"short{n}", X_Time_Left="20m"))
+            assert all(flood.answer()[0].status == 503 for _ in range(20))
+        assert wait_for(lambda: edge_node.core.open_requests == 1, 2.0), "the stream is over too early for this test"
+        second = Client(world.listen)
+        assert round_trip(second, "same")[0].status == 409
+        assert first.answer()[0].status == 200 and world.max_concurrent_attempts == 1
+        assert [what for what, _ in world.calls_for("same")] == ["read", "write"]
+        assert not any(world.calls_for(f"short{n}") for n in range(5_000))
+
+
 def test_an_invalid_request_is_answered_and_ejects_no_engine() -> None:
     with platform() as world, node(world) as edge_node:
         for name in ("r0", "r1"):
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -136,8 +136,15 @@
     assert records.violations[Invariant.NOTHING_LEAKED] == 1
 
 
-def test_records_are_bounded() -> None:
-    records = Records(lambda: 0, RELEASE_WITHIN, lambda text: None)
-    for n in range(MAX_RECORDS + 10):
-        records.open(f"q{n}", "chat", Effect.SAFE, SECOND)
+def test_records_are_bounded_and_those_of_running_requests_are_kept() -> None:
+    """Guards against a flood of requests that takes the guard in front of its attempts from a running request."""
+    records = Records(lambda: SECOND, RELEASE_WITHIN, lambda text: None)
+    for name in ("running", *(f"q{n}" for n in range(MAX_RECORDS + 10))):
+        records.open(name, "chat", Effect.SAFE, 9 * SECOND)
+        records.note(name, Step.SENT, "r0", 0, is_prefill=True)
+        if name != "running":
+            records.note(name, Step.ENDED, "r0", 0, Outcome.READ)  # a state is held, so that the record stays
+            records.note(name, Step.ANSWERED, why="served")
+            records.close(name)
     assert len(records) == MAX_RECORDS
+    assert records.may_begin("running", False, False) is Refusal.ATTEMPT_OUT
--- a/tests/test_threads.py
+++ b/tests/test_threads.py
@@ -10,8 +10,10 @@
 from stonetrack import api
 from stonetrack.engines.release_queue import PendingRelease, ReleaseResult
 from stonetrack.engines.release_workers import ReleaseWorkers
+from stonetrack.logic import SECOND
 from stonetrack.node import threads
-from stonetrack.node.core import Core, Timers
+from stonetrack.node.core import Core, DuplicateRequest, Timers
+from stonetrack.node.ports import InferenceRequest
 from tests.harness import Client, wait_for
 from tests.platform import node, platform, round_trip
 
@@ -116,3 +118,23 @@
         core.handle_event(api.TimerFired(0))
     core.handle_event(api.TimerFired(0))
     assert router.calls == 2
+
+
+def test_a_second_arrival_of_an_open_request_is_an_error_and_the_first_keeps_its_mailbox() -> None:
+    """Guards against a request whose thread waits for ever, since another took its mailbox (review case 6)."""
+    arrivals: list[api.Event] = []
+
+    class Router:
+        def handle(self, now: int, event: api.Event) -> list[api.Action]:
+            arrivals.append(event)
+            return [api.Send("same", "r0", SECOND)] if isinstance(event, api.TimerFired) else []
+
+    core = Core(Router(), lambda: 0, log=lambda text: None)
+    request = InferenceRequest("same", 0, "s", SECOND, 1, None)
+    first = core.accept_request(request, lambda: None)
+    with pytest.raises(DuplicateRequest):
+        core.accept_request(request, lambda: None)
+    core.handle_event(api.TimerFired(0))
+    assert list(first.actions) == [api.Send("same", "r0", SECOND)] and len(arrivals) == 2
+    core.finish_request(first)
+    assert core.accept_request(request, lambda: None) is not first
