A deeply nested answer of an engine no longer ends the process

Cause: decoding to plain objects calls itself for each level and relies on the interpreter's limit of 1,000 levels, made for a stack of 8 MiB; the threads of `run` have 256 KiB, used up at about 750 levels. The same for the daemon's engines (events, answers, load reports), the discovery service's input and versions of settings.

Change: wire/json_limits.py (before: the frontend's) is the one way to decode what a peer sends; depth and number of values are checked before decoding, without recursion. Settings whose json_depth does not fit stack_kib are refused.

--- a/stonetrack/cas_store/etcd.py
+++ b/stonetrack/cas_store/etcd.py
@@ -24,7 +24,7 @@
 from stonetrack.engines import calls
 from stonetrack.engines.calls import CallFailed
 from stonetrack.node.sockets import connect
-from stonetrack.wire import http1, writer
+from stonetrack.wire import http1, json_limits, writer
 from stonetrack.wire.errors import ProtocolError
 
 T = TypeVar("T")
@@ -128,7 +128,7 @@
 
 def _decode(body: bytes, type_: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=type_)
+        return json_limits.decode_as(body, type_)
     except msgspec.DecodeError as error:
         raise StoreError(f"etcd: {error}") from None
 
--- a/stonetrack/control/client.py
+++ b/stonetrack/control/client.py
@@ -10,7 +10,7 @@
 from stonetrack.engines import calls
 from stonetrack.engines.calls import CallFailed
 from stonetrack.engines.server_list import split_address
-from stonetrack.wire import writer
+from stonetrack.wire import json_limits, writer
 
 
 class ControlError(OSError):
@@ -35,7 +35,7 @@
     data = msgspec.json.encode(body) if body is not None else b""
     try:
         status, answer = calls.call(host, port, writer.request(method, path, headers, data), timeout_s)
-        reply = msgspec.json.decode(answer)
+        reply = json_limits.decode(answer, values=None)
     except (CallFailed, msgspec.DecodeError) as error:
         raise ControlError(f"{address}: {error}") from None
     if status != 200:
--- a/stonetrack/control/service.py
+++ b/stonetrack/control/service.py
@@ -40,6 +40,7 @@
 from stonetrack.frontend.long_poll import LongPoll
 from stonetrack.frontend.service_errors import error_body, rejection_response
 from stonetrack.node.request_runner import Waker
+from stonetrack.wire import json_limits
 
 CHECK_INTERVAL_S = 0.2  # from one check of all nodes to the next, at least
 NODES_CHECKED_PER_S = 5_000.0  # a check of so many nodes takes 0.1 s
@@ -272,14 +273,14 @@
             token = parse_token(owner)
             publisher = token or NO_TOKEN
             if path == "/settings":
-                published = msgspec.json.decode(data, type=_PublishRequest)
+                published = json_limits.decode_as(data, _PublishRequest)
                 after = self.change(
                     token, lambda h: h.published(published.content, published.kind, published.share, publisher.term,
                                                  publisher.owner, self.nodes,
                                                  max((n.running for n in self.nodes.values()), default=0)),
                     "published")  # fmt: skip
             else:
-                staged = msgspec.json.decode(data, type=_StageRequest)
+                staged = json_limits.decode_as(data, _StageRequest)
                 if path == "/stage":
                     after = self.change(token, lambda h: h.staged(staged.number, staged.share, self.nodes), "staged")
                 else:
@@ -299,7 +300,7 @@
 
     def _answer_node(self, connection: Connection, request: HttpRequest, waker: Waker, keep: bool) -> bool:
         try:
-            report = msgspec.json.decode(request.body, type=Report)
+            report = json_limits.decode_as(request.body, Report)
         except msgspec.DecodeError as error:
             connection.write(plain_response(400, error_body(str(error)), keep=keep))
             return keep
--- a/stonetrack/controller/calls.py
+++ b/stonetrack/controller/calls.py
@@ -23,7 +23,7 @@
 from stonetrack.election.fencing import NO_TOKEN, TOKEN_HEADER, Token
 from stonetrack.engines import calls
 from stonetrack.engines.calls import CallFailed
-from stonetrack.wire import writer
+from stonetrack.wire import json_limits, writer
 
 CONCURRENT_CHECKS = 16
 
@@ -127,7 +127,7 @@
         if status == 204:
             return _List()
         with contextlib.suppress(msgspec.DecodeError):
-            listed = msgspec.json.decode(body, type=_List)
+            listed = json_limits.decode_as(body, _List)
             if status == 200:
                 return listed
             if status == 503 and listed.origin:
@@ -189,11 +189,11 @@
                      for e in args["engines"]]  # fmt: skip
         status, body = self._call(method, msgspec.json.encode({"engines": lines}), token)
         if status == 409:
-            refusal = msgspec.json.decode(body, type=_Refusal)
+            refusal = json_limits.decode_as(body, _Refusal)
             raise EffectRefused(refusal.error, refusal.known)
         if status != 200:
             raise CallFailed(f"list service: {status}: {body[:200].decode('utf-8', 'replace')}")
-        return dict(msgspec.json.decode(body))
+        return dict(json_limits.decode(body, values=None))
 
     def _control(self, step: Step, token: Token) -> dict[str, Any]:
         """Carry out an effect at the control service.  Raises EffectRefused, ControlError."""
--- a/stonetrack/daemon/control_follower.py
+++ b/stonetrack/daemon/control_follower.py
@@ -25,6 +25,7 @@
 from stonetrack.control.messages import Answer, Report
 from stonetrack.durable import save
 from stonetrack.settings import Node, SettingsError, merged, parse
+from stonetrack.wire import json_limits
 
 MS, SECOND = 1_000_000, 1_000_000_000
 MIN_BACKOFF_S, MAX_BACKOFF_S = 0.25, 3.0  # after a failed report
@@ -73,7 +74,7 @@
         if self._path is None or not self._path.exists():
             return self._own, NO_VERSION
         try:
-            document = msgspec.json.decode(self._path.read_bytes(), type=Document)
+            document = json_limits.decode_as(self._path.read_bytes(), Document)
             settings = self._with_version(document)
         except (OSError, msgspec.DecodeError, SettingsError) as error:
             self._log(f"stored version {self._path} ignored: {error}; the node's own settings are in force")
--- a/stonetrack/discovery/service.py
+++ b/stonetrack/discovery/service.py
@@ -42,6 +42,7 @@
 from stonetrack.frontend.long_poll import LongPoll
 from stonetrack.frontend.service_errors import error_body, rejection_response
 from stonetrack.node.request_runner import Waker
+from stonetrack.wire import json_limits
 
 MS, SECOND = 1_000_000, 1_000_000_000
 PATH = "/engines"
@@ -53,12 +54,12 @@
 def parse_lines(data: bytes) -> list[Mapping[str, Any]]:
     """The engines of a document, checked as a node checks them.  Raises ListError."""
     try:
-        raw = msgspec.json.decode(data)
+        raw = json_limits.decode(data, values=None)  # bounded by the length of a body
         given = raw["engines"] if isinstance(raw, dict) else None
         if not isinstance(given, list):
             raise ListError('server list: {"engines": [...]} is allowed')
         checked = msgspec.convert(given, list[server_list.EngineEntry])
-    except (msgspec.DecodeError, msgspec.ValidationError, KeyError, RecursionError) as error:
+    except (msgspec.DecodeError, KeyError) as error:
         raise ListError(f"server list: {error}") from None
     for n, line in enumerate(checked):
         if split_address(line.address) is None:
--- a/stonetrack/edge/config.py
+++ b/stonetrack/edge/config.py
@@ -15,6 +15,7 @@
 
 from stonetrack import api, simulator_adapter
 from stonetrack.engines.server_list import split_address
+from stonetrack.wire import json_limits
 
 
 class ConfigError(ValueError):
@@ -91,8 +92,8 @@
 def parse(data: bytes) -> Config:
     """Parse a configuration file's bytes.  Raises ConfigError."""
     try:
-        document = msgspec.json.decode(data, type=_ConfigDocument)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = json_limits.decode_as(data, _ConfigDocument)
+    except msgspec.DecodeError as error:
         reason, _, path = str(error).partition(" - at `")
         expected = "" if isinstance(error, msgspec.ValidationError) else "; allowed: one JSON object, whole"
         raise ConfigError(f"{path.rstrip('`') or '$'}: {reason}{expected}") from None
--- a/stonetrack/edge/engine_table.py
+++ b/stonetrack/edge/engine_table.py
@@ -16,6 +16,7 @@
 from stonetrack.edge.documents import DocumentError
 from stonetrack.engines.server_list import split_address
 from stonetrack.engines.start_times import StartTimes
+from stonetrack.wire import json_limits
 
 MS = 1_000_000
 _STATES = {
@@ -83,8 +84,8 @@
         ``first_of_watch`` the first document of a watch.  Raises ServerListError.
         """
         try:
-            document = msgspec.json.decode(data, type=Document)
-        except (msgspec.DecodeError, RecursionError) as error:
+            document = json_limits.decode_as(data, Document)
+        except msgspec.DecodeError as error:
             raise ServerListError(f"{error}: {data[:80]!r}") from None
         if document.rev < self.rev and not (document.all and first_of_watch):
             return None
--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -31,7 +31,7 @@
 
 from stonetrack.api import LoadReport, Outcome, Role
 from stonetrack.node.ports import AnswerStarted, AttemptEvent, AttemptResult, RawEvents
-from stonetrack.wire import http1
+from stonetrack.wire import http1, json_limits
 from stonetrack.wire.errors import ProtocolError
 
 LOAD_HEADER, UNPROCESSED_HEADER = "x-backend-load", "x-unprocessed"
@@ -198,8 +198,8 @@
 
     def _cached_tokens(self) -> int:
         try:
-            raw = msgspec.json.decode(self._body)
-        except (msgspec.DecodeError, RecursionError):
+            raw = json_limits.decode(self._body)
+        except msgspec.DecodeError:
             return 0
         tokens = raw.get("cached_tokens") if isinstance(raw, dict) else 0
         return tokens if type(tokens) is int and tokens >= 0 else 0
--- a/stonetrack/engines/load.py
+++ b/stonetrack/engines/load.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from stonetrack.api import LoadReport
+from stonetrack.wire import json_limits
 
 HEADER = "endpoint-load-metrics"
 _RUNNING = ("num_requests_running", "vllm:num_requests_running")
@@ -47,8 +48,8 @@
     form, _, rest = value[:_MAX_LENGTH].partition(" ")
     if form == "JSON":
         try:
-            raw = msgspec.json.decode(rest)
-        except (msgspec.DecodeError, RecursionError):
+            raw = json_limits.decode(rest.encode())
+        except msgspec.DecodeError:
             return None
         named = raw.get("named_metrics") if isinstance(raw, dict) else None
         pairs = [*(raw.items() if isinstance(raw, dict) else ()), *(named.items() if isinstance(named, dict) else ())]
--- a/stonetrack/engines/protocol.py
+++ b/stonetrack/engines/protocol.py
@@ -29,7 +29,7 @@
 from stonetrack.api import Outcome, Role
 from stonetrack.engines import load
 from stonetrack.node.ports import AnswerStarted, AttemptEvent, AttemptResult, Choices, InferenceRequest
-from stonetrack.wire import http1, sse, writer
+from stonetrack.wire import http1, json_limits, sse, writer
 from stonetrack.wire.errors import ProtocolError
 
 CHAT_PATH = "/v1/chat/completions"
@@ -41,7 +41,6 @@
 _FORWARDED_FIELDS = ("system_fingerprint", "service_tier")  # of an event, forwarded to the client beside its choices
 
 _encode = msgspec.json.Encoder().encode
-_decode = msgspec.json.Decoder().decode
 
 
 def chat_request(
@@ -210,8 +209,8 @@
                 self._set_outcome(Outcome.ERROR, events, why="the engine's stream ended without an answer")
             return
         try:
-            raw = _decode(event.data)
-        except (msgspec.DecodeError, RecursionError):
+            raw = json_limits.decode(event.data)
+        except msgspec.DecodeError:
             raw = None
         if not isinstance(raw, dict):
             self._set_outcome(Outcome.ERROR, events, why="an event of the engine's stream is no JSON object")
@@ -234,8 +233,8 @@
             self._set_outcome(Outcome.RESET, events, why="the engine's stream ended without [DONE]")
             return
         try:
-            raw = _decode(bytes(self._body)) if self._body else {}
-        except (msgspec.DecodeError, RecursionError):
+            raw = json_limits.decode(self._body) if self._body else {}
+        except msgspec.DecodeError:
             raw = {}
         raw = raw if isinstance(raw, dict) else {}
         if head.status == 200:
--- a/stonetrack/engines/server_list.py
+++ b/stonetrack/engines/server_list.py
@@ -21,6 +21,7 @@
 from stonetrack import api
 from stonetrack.engines.start_times import StartTimes
 from stonetrack.settings.schema import Kind
+from stonetrack.wire import json_limits
 
 SECOND = 1_000_000_000
 _ORIGIN_PATTERN = re.compile(r"[A-Za-z0-9._-]{0,100}")
@@ -66,8 +67,8 @@
 def parse_document(data: bytes) -> ListDocument:
     """Decode a document and check its types; its engines are checked later.  Raises ListError."""
     try:
-        document = msgspec.json.decode(data, type=ListDocument)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = json_limits.decode_as(data, ListDocument)
+    except msgspec.DecodeError as error:
         raise ListError(f"server list: {error}") from None
     if document.kind not in ("full", "changes"):
         raise ListError(f"server list: kind {document.kind!r}; allowed: full, changes")
--- a/stonetrack/frontend/chat.py
+++ b/stonetrack/frontend/chat.py
@@ -12,7 +12,6 @@
 import msgspec
 from msgspec import Meta
 
-from stonetrack.frontend import json_limits
 from stonetrack.frontend.admission import Admission
 from stonetrack.frontend.answers import ChunkEncoder, CompletionBuilder
 from stonetrack.frontend.connection import Connection, HttpRequest
@@ -21,6 +20,7 @@
 from stonetrack.frontend.sinks import BufferedSink, EventSink, HttpSink
 from stonetrack.node import ports
 from stonetrack.node.request_runner import Waker
+from stonetrack.wire import json_limits
 
 RESERVED_FIELD = "kv_transfer_params"
 _encode = msgspec.json.Encoder().encode
@@ -69,11 +69,10 @@
 def decode_body(body: bytes, depth: int, values: int) -> dict[str, Any]:
     """Decode the body as a JSON object.  Raises ApiError."""
     try:
-        json_limits.check(body, depth, values)
-        raw = msgspec.json.decode(body)
+        raw = json_limits.decode(body, depth, values)
     except json_limits.TooComplex as error:
         raise ApiError(400, str(error), code="too_complex") from None
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise ApiError(400, f"the body is no JSON: {error}", code="invalid_json") from None
     if not isinstance(raw, dict):
         raise ApiError(400, "the body must be a JSON object", code="invalid_json")
--- a/stonetrack/settings/check.py
+++ b/stonetrack/settings/check.py
@@ -9,6 +9,8 @@
 from stonetrack.settings.schema import Node
 
 MS = 1_000_000  # nanoseconds
+KIB = 1_024
+STACK_BYTES_PER_LEVEL = 512  # of JSON, for the thread that decodes it
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +95,11 @@
             routing.connect_timeout_ms,
             f"under twice drain_grace_ms ({routing.drain_grace_ms})",
         )
+    deepest = node.limits.stack_kib * KIB // STACK_BYTES_PER_LEVEL
+    if node.limits.json_depth > deepest:
+        yield Problem(
+            "$.limits.json_depth", node.limits.json_depth, f"at most {deepest} with stack_kib {node.limits.stack_kib}"
+        )
     if routing.may_hold_place and not any(k.hold for k in node.kinds):
         yield Problem("$.routing.may_hold_place", True, "true only where a kind has hold: true")
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -16,12 +16,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from stonetrack.frontend import json_limits
 from stonetrack.frontend.auth import key_hash, tenant_of
 from stonetrack.frontend.classify import BadTimeLeft, ByteEstimator, class_of, describe_prompt, session_of, time_left
 from stonetrack.settings import parse
 from stonetrack.settings.schema import Tenant
-from stonetrack.wire import http1
+from stonetrack.wire import http1, json_limits
 from tests.harness import CHAT, Client, Harness, chat, harness, raw_settings, text_of, wait_for
 
 SMALL = {
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -108,7 +108,7 @@
     "controller/settings.py", "fleet/shape.py",
     "fleet/script.py", "fleet/model.py", "fleet/judge.py", "fleet/serving.py", "fleet/faulted.py",
     "frontend/answers.py", "frontend/classify.py", "frontend/auth.py", "frontend/errors.py",
-    "frontend/json_limits.py", "settings/*.py", "emulator/engine.py", "emulator/answers.py", "fleet/rules.py",
+    "wire/json_limits.py", "settings/*.py", "emulator/engine.py", "emulator/answers.py", "fleet/rules.py",
     "fleet/traffic.py", "soak/engine_side.py", "scenario/script.py",
     "scenario/bench.py", "capture/codec.py", "capture/segment.py", "capture/snapshot.py", "capture/explain.py",
     "capture/compare.py", "capture/index.py", "capture/retention.py", "capture/case.py", "capture/redact.py",
