Nothing begins at an engine for a client that sent much and closed

Cause: the end of a connection lies behind all that was sent on it and does not arrive while the receive buffer is full. While a request was under way the node read nothing of its client and took "no end reported" for "the client is there".

Change: what lies behind an open request is read within the connection's share of memory, before each attempt and as it comes. If more lies there, the end can't be seen and nothing begins: 503, or failed where an attempt may have run. The same in long polls of the services, and for an attempt whose request is partly written.

--- a/stonetrack/frontend/body_memory.py
+++ b/stonetrack/frontend/body_memory.py
@@ -57,7 +57,7 @@
     """
 
     def __init__(self, limits: BodyLimits, max_body: int) -> None:
-        self._unreserved, self._max_body = limits.unreserved, max_body
+        self.limits, self._max_body = limits, max_body
         self._lock = threading.Lock()
         self._reserved, self._served = _Share(limits.reading), _Share(limits.serving)
         self._waiting: dict[Connection, None] = {}  # in the order of arrival
@@ -81,11 +81,11 @@
         """The number of bytes that may be read from a connection now; 0 if it has to wait for a reservation."""
         with self._lock:
             if not connection.awaits_body or connection in self._reserved.sizes:
-                return self._unreserved
-            if (left := self._unreserved - connection.partial_body_bytes) > 0:
+                return self.limits.unreserved
+            if (left := self.limits.unreserved - connection.partial_body_bytes) > 0:
                 return left
             if not self._waiting and self._reserve(connection):
-                return self._unreserved
+                return self.limits.unreserved
             self._waiting[connection] = None
             return 0
 
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -41,7 +41,7 @@
 
 
 class Connection:
-    """One client connection."""
+    """One client connection.  ``read_ahead_bytes`` bounds what :meth:`read_ahead` keeps."""
 
     __slots__ = (
         "_body",
@@ -54,6 +54,7 @@
         "linger_until",
         "parked_at",
         "pending",
+        "read_ahead_bytes",
         "read_at",
         "reader",
         "requests_read",
@@ -62,9 +63,12 @@
         "unread_since",
     )
 
-    def __init__(self, sock: socket.socket, limits: http1.Limits, state: HostState) -> None:
+    def __init__(
+        self, sock: socket.socket, limits: http1.Limits, state: HostState, read_ahead_bytes: int = 65_536
+    ) -> None:
         self.sock = sock
         self.state = state
+        self.read_ahead_bytes = read_ahead_bytes
         self.requests_read = 0
         self.response_started = False  # a byte of the response to the last request was written
         self.corked = False
@@ -110,6 +114,24 @@
             self.request_started_at = now  # bytes received together with the previous request
         return None
 
+    def read_ahead(self) -> bool:
+        """Receive what the client has sent behind its open request, within ``read_ahead_bytes``, without parsing it.
+
+        Returns whether nothing is left unread.  Only then does poll(2) tell whether the client has closed: the end of a
+        connection lies behind all that was sent on it, and does not arrive while the receive buffer is full.
+        """
+        try:
+            while (room := self.read_ahead_bytes - self.reader.buffered_bytes) > 0:
+                data = sockets.receive(self.sock, min(room, _READ_BYTES))
+                if not data:
+                    return True
+                self.reader.append(data)
+            return not sockets.receive(self.sock, 1, sockets.PEEK)
+        except sockets.ResourceExhausted:
+            return False
+        except OSError:  # nothing to read now, or the connection broke: poll(2) reports that
+            return True
+
     def discard_body(self) -> None:
         """Free the body read so far."""
         self._head, self._body = None, bytearray()
--- a/stonetrack/frontend/connection_sink.py
+++ b/stonetrack/frontend/connection_sink.py
@@ -26,6 +26,10 @@
         """Write pending data as far as the socket accepts it; return the bytes left.  Raises ClientDisconnected."""
         return self.connection.flush()
 
+    def read_ahead(self) -> bool:
+        """Receive what the client has sent behind its request; return whether nothing is left unread."""
+        return self.connection.read_ahead()
+
     def cork(self, on: bool) -> None:
         """While on, keep written data pending; the caller flushes afterwards."""
         self.connection.corked = on
--- a/stonetrack/frontend/host.py
+++ b/stonetrack/frontend/host.py
@@ -226,7 +226,7 @@
             with contextlib.suppress(OSError):
                 sockets.SYSTEM.set_option(sock, socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
         try:
-            connection = Connection(sock, self._wire, self.state)
+            connection = Connection(sock, self._wire, self.state, self.bodies.limits.unreserved)
         except MemoryError:
             self._reject_socket(sock, "out of memory")
             return
--- a/stonetrack/frontend/long_poll.py
+++ b/stonetrack/frontend/long_poll.py
@@ -38,9 +38,13 @@
         self.notify()
 
     def wait(self, connection: Connection, waker: Waker, wait_ms: float, is_done: Callable[[], bool]) -> bool:
-        """Wait for ``is_done``, :meth:`stop` or the end of the time; return False if the client disconnected."""
+        """Wait for ``is_done``, :meth:`stop` or the end of the time; return False if the client disconnected.
+
+        A client that sends more behind its request than its connection may hold is not waited for: its disconnection
+        could not be seen.
+        """
         poller = select.poll()
-        poller.register(connection.fileno(), select.POLLRDHUP)
+        poller.register(connection.fileno(), select.POLLRDHUP | select.POLLIN)
         poller.register(waker.fd, select.POLLIN)
         with self._lock:
             self._wakers.add(waker)
@@ -53,6 +57,8 @@
                     elif mask & _DISCONNECTED:
                         self.clients_gone += 1
                         return False
+                    elif not connection.read_ahead():
+                        return True
             return True
         finally:
             with self._lock:
--- a/stonetrack/node/invariants.py
+++ b/stonetrack/node/invariants.py
@@ -45,6 +45,7 @@
     ANSWERED = "the request was answered"
     ATTEMPT_OUT = "another attempt is out"
     ENGINE_CLOSED = "the engine is draining or gone"
+    INPUT_UNREAD = "whether the client has gone can't be seen: more lies behind its request than is read"
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,12 +95,14 @@
         """Whether no attempt is in flight, nothing may be held, and no answer is owed."""
         return self._attempt_in_flight < 0 and not self._held_since and (self._answered or self._client_gone_at > 0)
 
-    def may_begin(self, client_left: bool, engine_closed: bool) -> Refusal | None:
+    def may_begin(self, client_left: bool, engine_closed: bool, input_unread: bool = False) -> Refusal | None:
         """The guard in front of every attempt's first byte: why the attempt may not begin, None where it may.
 
         Owed: ``Obligation.ATTEMPT``, ``Obligation.TOLD_CHANGE``."""
         if client_left or self._client_gone_at:
             return Refusal.CLIENT_GONE
+        if input_unread:
+            return Refusal.INPUT_UNREAD
         if self._answered:
             return Refusal.ANSWERED
         if self._attempt_in_flight >= 0:
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -150,6 +150,11 @@
     def fileno(self) -> int:
         """The client's descriptor, polled for disconnection and for room to write."""
 
+    def read_ahead(self) -> bool:
+        """Receive what the client has sent behind its request, within a bound; return whether nothing is left unread.
+
+        While something is, a disconnection can't be seen."""
+
     def begin(self) -> None:
         """Start the answer.  Raises ClientDisconnected."""
 
--- a/stonetrack/node/records.py
+++ b/stonetrack/node/records.py
@@ -145,13 +145,15 @@
         if finished:
             self._log_record(record)
 
-    def may_begin(self, request: str, client_left: bool, engine_closed: bool) -> Refusal | None:
+    def may_begin(
+        self, request: str, client_left: bool, engine_closed: bool, input_unread: bool = False
+    ) -> Refusal | None:
         """As :meth:`.invariants.Ledger.may_begin`; refusals are counted."""
         with self._lock:
             record = self._records.get(request)
             if record is None:
                 return Refusal.CLIENT_GONE if client_left else Refusal.ENGINE_CLOSED if engine_closed else None
-            refusal = record.ledger.may_begin(client_left, engine_closed)
+            refusal = record.ledger.may_begin(client_left, engine_closed, input_unread)
             if refusal is not None:
                 self.refusals[refusal] += 1
             return refusal
--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -15,6 +15,7 @@
 - A ``Cancel`` for an attempt whose answer has started is ignored: the answer belongs to the client by then.  The router
   may have decided it before it received the first token; both orders end the same.
 - A ``Send`` while an attempt is in flight is a defect and is never carried out: two attempts never overlap.
+- A request whose client may have gone unseen ends before its next attempt: an attempt for nobody may have an effect.
 - When the client has gone, a streaming attempt is aborted at once (nobody reads the stream).  One whose answer has not
   started is only aborted on ``Cancel``: whether cancellation is allowed is the router's decision.
 - A ``Send`` decided in another thread just before the client left is not carried out: its outcome is ``NOT_SENT``, so
@@ -130,6 +131,7 @@
 
     __slots__ = (
         "last_why",
+        "may_have_run",
         "request",
         "client_gone",
         "answered",
@@ -164,6 +166,7 @@
         self.reserved_server = ""
         self.timed_out = False  # whether the last attempt timed out: a failure is then reported as late
         self.last_why = ""
+        self.may_have_run = False  # whether an attempt ended without its engine's answer
 
     @property
     def finished(self) -> bool:
@@ -282,6 +285,7 @@
         outcome = result.outcome
         self.timed_out = outcome is api.Outcome.TIMED_OUT
         self.last_why = result.why or outcome.value
+        self.may_have_run = self.may_have_run or outcome in _UNCERTAIN
         finished = streamed or self.client_gone or self.answered
         if result.rejection is not None and not finished:
             # The request itself is at fault: the engine's answer is final and nothing is retried.
@@ -356,3 +360,14 @@
         elif self.stage is Stage.WAITING:
             self.stage = Stage.DONE
         return effects
+
+    def handle_input_unread(self) -> list[SideEffect]:
+        """End a request before its next attempt: its client sends so much behind it that its end can't be seen.
+
+        The router is told that the request is gone, and releases what is held.
+        """
+        if self.client_gone or self.answered or self.stage is Stage.STREAMING:
+            return []
+        why = "the client sends more behind its request than is read"
+        final = ports.Failed(why) if self.may_have_run else ports.Refused(0)
+        return [*self._finish_request(final), NotifyRouter(api.RequestGone(self.request.request_id))]
--- a/stonetrack/node/request_runner.py
+++ b/stonetrack/node/request_runner.py
@@ -28,6 +28,7 @@
     Engines,
     Final,
     InferenceRequest,
+    Refused,
     Sink,
 )
 from stonetrack.node.records import Records
@@ -112,11 +113,15 @@
         self.early_results: deque[AttemptResult] = deque()  # of attempts that ended while they were started
         self.actions: deque[Action] = deque()
         self.last_progress_at = 0  # when the client last took a byte
+        self.input_unread = False  # more has come behind the request than is read: the client's end can't be seen
 
     def run(self) -> RequestLifecycle:
         """Run from arrival to the last outcome; the finished lifecycle, for the request's record."""
         core, lifecycle = self.core, self.lifecycle
         self.waker.clear()
+        if self._client_left() or self.input_unread:
+            self._end_unseen()
+            return lifecycle
         mailbox = self.mailbox = core.accept_request(lifecycle.request, self.waker.wake)
         self.actions = mailbox.actions
         self.last_progress_at = core.clock()
@@ -134,6 +139,14 @@
                 self.attempt.abort()
             core.finish_request(mailbox)
 
+    def _end_unseen(self) -> None:
+        """End a request that the router has not seen: its client has gone, or that could not be seen."""
+        if self.input_unread:
+            self._finish_answer(Refused(0))
+        else:
+            self.lifecycle.client_gone = True
+            self._note(Step.CLIENT_GONE)
+
     def _abandon(self) -> None:
         """After a defect: leave nothing of the request at an engine or in the router."""
         with contextlib.suppress(Exception):
@@ -163,12 +176,14 @@
             poller.register(self.waker.fd, select.POLLIN)
         client = -1 if lifecycle.client_gone else sink.fileno()
         if client >= 0:
-            poller.register(client, select.POLLRDHUP | (select.POLLOUT if sink.pending else 0))
+            mask = select.POLLRDHUP | (0 if self.input_unread else select.POLLIN)
+            poller.register(client, mask | (select.POLLOUT if sink.pending else 0))
         engine = attempt.fileno() if attempt is not None else -1
         buffer_full = not lifecycle.client_gone and sink.pending > self.bounds.send_buffer
         if engine >= 0 and attempt is not None:
             mask = (0 if buffer_full else select.POLLIN) | (select.POLLOUT if attempt.has_unsent_data else 0)
             poller.register(engine, mask) if mask else None
+        input_was_unread = self.input_unread
         # The descriptors stay the same during a stream, so the poller is reused while nothing else changes.
         while True:
             now = self.core.clock()
@@ -190,6 +205,7 @@
                 or lifecycle.finished
                 or lifecycle.client_gone
                 or self.early_results
+                or self.input_unread is not input_was_unread
                 or sink.pending
                 or client < 0
                 or (attempt is not None and (attempt.has_unsent_data or attempt.fileno() != engine))
@@ -214,7 +230,12 @@
     def _handle_client_event(self, mask: int, now: int) -> None:
         if mask & _DISCONNECTED:
             self._handle_disconnect(now)
-        elif mask & select.POLLOUT:
+            return
+        if mask & select.POLLIN:
+            self.input_unread = not self.sink.read_ahead()
+            if self.input_unread and self.attempt is not None and self.attempt.has_unsent_data:
+                self._handle_input_unread(now)
+        if mask & select.POLLOUT:
             self._flush(now)
 
     def _handle_disconnect(self, now: int) -> None:
@@ -223,6 +244,11 @@
             # An attempt begins with its request's last byte: this one would begin without a client.
             self._abort_attempt(Outcome.NOT_SENT, "the client left", now)
 
+    def _handle_input_unread(self, now: int) -> None:
+        self._apply(self.lifecycle.handle_input_unread())
+        if self.attempt is not None and self.attempt.has_unsent_data:
+            self._abort_attempt(Outcome.NOT_SENT, "whether the client has left can't be seen", now)
+
     def _handle_engine_event(self, now: int) -> None:
         attempt = self.attempt
         if attempt is None:
@@ -289,12 +315,7 @@
                         attempt, self.attempt = self.attempt, None
                         attempt.abort()
                 case FinishAnswer(final):
-                    self._note_answer(final)
-                    try:
-                        self.sink.finish(final)
-                        self.last_progress_at = self.core.clock()
-                    except ClientDisconnected:
-                        self.lifecycle.client_gone = True
+                    self._finish_answer(final)
                 case Reserve(server):
                     self._reserve(server)
                 case ReleaseHeld(prefill_server, state, decode_server, attempt_number, state_remains):
@@ -307,6 +328,14 @@
                         state_remains,
                     )
 
+    def _finish_answer(self, final: Final) -> None:
+        self._note_answer(final)
+        try:
+            self.sink.finish(final)
+            self.last_progress_at = self.core.clock()
+        except ClientDisconnected:
+            self.lifecycle.client_gone = True
+
     def _deliver(self, event: AnswerPart | AnswerStarted) -> None:
         if self.lifecycle.client_gone:
             return
@@ -338,6 +367,8 @@
             self._handle_disconnect(
                 self.core.clock()
             )  # first, else the router would try the next engine without a client
+        elif isinstance(started, AttemptResult) and self.input_unread:
+            self._handle_input_unread(self.core.clock())
         if isinstance(started, AttemptResult):
             self.early_results.append(started)
 
@@ -350,8 +381,11 @@
             return False  # the state that it would use has been released meanwhile
         client_left, engine_closed = self._client_left(), not self.core.may_send(server)
         if self.records is None:
-            return not client_left and not engine_closed
-        return self.records.may_begin(self.lifecycle.request.request_id, client_left, engine_closed) is None
+            return not client_left and not engine_closed and not self.input_unread
+        refusal = self.records.may_begin(
+            self.lifecycle.request.request_id, client_left, engine_closed, self.input_unread
+        )
+        return refusal is None
 
     def _note_event(self, event: Event) -> None:
         if self.records is None:
@@ -368,20 +402,27 @@
             )
         elif isinstance(event, FirstToken):
             self.records.note(event.request, Step.FIRST_EVENT, event.server, event.attempt)
-        elif isinstance(event, RequestGone):
-            self.records.note(event.request, Step.CLIENT_GONE)
+        elif isinstance(event, RequestGone) and self.lifecycle.client_gone:
+            self._note(Step.CLIENT_GONE)
 
-    def _note_answer(self, final: Final) -> None:
+    def _note(self, step: Step, why: str = "") -> None:
         if self.records is not None:
-            why = getattr(final, "why", "")
-            name = type(final).__name__.lower()
-            self.records.note(self.lifecycle.request.request_id, Step.ANSWERED, why=f"{name}: {why}" if why else name)
+            self.records.note(self.lifecycle.request.request_id, step, why=why)
+
+    def _note_answer(self, final: Final) -> None:
+        why = getattr(final, "why", "")
+        name = type(final).__name__.lower()
+        self._note(Step.ANSWERED, f"{name}: {why}" if why else name)
 
     def _client_left(self) -> bool:
-        """Whether the client has closed its connection or its sending side, even if :meth:`_wait` has not seen it."""
+        """Whether the client has closed its connection or its sending side, even if :meth:`_wait` has not seen it.
+
+        Its end lies behind what it has sent, so that is read first; see ``input_unread``.
+        """
         client = self.sink.fileno()
         if self.lifecycle.client_gone or client < 0:
             return True
+        self.input_unread = not self.sink.read_ahead()
         poller = select.poll()
         poller.register(client, select.POLLRDHUP)
         return any(mask & _DISCONNECTED for _, mask in sockets.poll(poller, 0))
--- a/stonetrack/node/sockets.py
+++ b/stonetrack/node/sockets.py
@@ -22,6 +22,7 @@
 RETRY_DELAY_S = 0.005
 DONT_WAIT = int(socket.MSG_DONTWAIT)  # plain integers: combining the enum members on each call costs more than the call
 SEND_FLAGS = int(socket.MSG_DONTWAIT | socket.MSG_NOSIGNAL)
+PEEK = int(socket.MSG_DONTWAIT | socket.MSG_PEEK)
 _RESET = struct.pack("ii", 1, 0)
 
 
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -238,6 +238,10 @@
             self._consumed = 0
         return events
 
+    def append(self, data: bytes) -> None:
+        """Keep received bytes for the next :meth:`feed`, unparsed."""
+        self._buffer += data
+
     def eof(self) -> list[Event]:
         """The peer has closed its side: ends a close-delimited body; returns no event between messages.
 
