Everything that clients make a node hold has a share of its memory limit

Cause: memory was divided by counts with typical sizes. What was in no part: what the allocator keeps (a cache for each of hundreds of threads, 19 MiB for 100 slow readers; holes between areas of 16 to 64 KB, 15 MiB), heads (15 MiB), and a process that takes more than assumed.

test_memory_shares_never_exceed_the_limit summed up the old parts, which had no place for heads and connections; its successor sums up all parts over 144 combinations in place of 8.

--- a/stonetrack/edge/budget.py
+++ b/stonetrack/edge/budget.py
@@ -5,8 +5,20 @@
 that no part can use another's share: neither clients that connect and send nothing nor idle connections to engines can
 take the descriptors that attempts need.
 
-Memory is divided likewise: the process itself, stack and buffers of each running request, a part of a body for each
-client connection, and what is left for whole bodies, those that are read and those of running requests.
+Memory is divided likewise, each part by the most that peers can make it hold:
+
+=====================  ==================================================================================
+part                   bound
+=====================  ==================================================================================
+the process            resident memory when the node is made, and ``TABLES_BYTES``
+each running request   ``REQUEST_BYTES``: its thread, and what waits to be sent or is received of an engine
+each client            ``CONNECTION_BYTES``
+incomplete requests    ``BodyLimits.partial``, by their bytes
+bodies being read      ``BodyLimits.reading``, by reservation
+running requests       ``BodyLimits.serving``, by the bytes of heads and bodies
+=====================  ==================================================================================
+
+The allocator adds to all but the first (``ALLOCATOR_SHARE``).
 """
 
 from __future__ import annotations
@@ -14,45 +26,61 @@
 from dataclasses import dataclass
 
 from stonetrack.frontend.body_memory import BodyLimits
+from stonetrack.frontend.connection import READ_AHEAD_BYTES
+from stonetrack.wire.http1 import FIELD_BYTES
 
 FIXED_DESCRIPTORS = 24  # standard streams, listener, reserve, epoll, discovery watch (old and new), configuration file
 BACKGROUND_CALL_DESCRIPTORS = 11  # connections for releases and probes: one for each of their threads, and a reserve
 MAX_ABANDONED = 16  # the attempts that the busiest nodes cancel within a second at engines that have fallen silent
-BYTES_PER_REQUEST = 200_000  # 60,000 to 90,000 for stack and buffers, plus a body
-BYTES_PER_REQUEST_WITHOUT_BODY = 100_000
 MAX_BODY_BYTES = 262_144  # the protocol's bound
-UNRESERVED_BODY_BYTES = (16_384, 65_536)  # for each client connection; least, most
-BASE_BYTES = 18_000_000  # 13 to 14 million for interpreter, imports and tables, plus a reserve
+MAX_HEAD_BYTES, MAX_HEADERS = 16_384, 64
+SEND_BUFFER_BYTES = 16_384  # unsent data of a stream beyond which its engine is not read
+PROCESS_BYTES = 14_000_000  # interpreter and imports, at least
+TABLES_BYTES = 6_000_000  # ids, records, prefix tables, releases, and the modules loaded for the first metrics page
+THREAD_BYTES = 32_768  # stack, interpreter state and objects of a request's thread
+RESPONSE_BYTES = 40_960  # of a first event, or of unsent data: the send buffer, one more read, their overhead
+REQUEST_BYTES = THREAD_BYTES + RESPONSE_BYTES + READ_AHEAD_BYTES
+USUAL_MESSAGE_BYTES = 60_000  # for which a slot for a request is provided
+CONNECTION_BYTES = 4_096  # socket, parser and tables of a client connection
+UNRESERVED_BYTES = (MAX_HEAD_BYTES + MAX_HEADERS * FIELD_BYTES + 2_048, 65_536)  # for each client; least, most
+PARTIAL_SHARE, READING_SHARE = 0.25, 0.25  # of the memory for heads and bodies; the rest is for running requests
+ALLOCATOR_SHARE = 0.15  # of what is allocated: free parts of pages that are not given back
+MIN_REQUESTS = 16
 
 
 @dataclass(frozen=True, slots=True)
 class Budget:
-    """Shares of the descriptors; their sum is at most the configured number."""
+    """Shares of the descriptors and of memory; the sums are at most the configured numbers."""
 
     clients: int  # client connections
     requests: int  # running requests, so connections of attempts too
     wakers: int  # descriptors that wake waiting requests
     idle_connections: int  # idle connections to engines
     abandoned: int  # connections of attempts that were cancelled without their engine's answer
-    bodies: BodyLimits  # memory for bodies
+    bodies: BodyLimits  # memory for heads and bodies
+    shortage_bytes: int  # by which the least shares exceed the memory; 0 where they fit
 
 
-def divide_budget(sockets: int, memory_mb: float) -> Budget:
-    """Divide ``sockets`` descriptors and the memory; the number of requests is bounded by both."""
+def divide_budget(sockets: int, memory_mb: float, process_bytes: int = PROCESS_BYTES) -> Budget:
+    """Divide ``sockets`` descriptors and the memory; the numbers of clients and requests are bounded by both."""
     free = sockets - FIXED_DESCRIPTORS - BACKGROUND_CALL_DESCRIPTORS
-    clients = free * 46 // 100
-    free_bytes = int(memory_mb * 1e6) - BASE_BYTES
-    requests = min(free * 37 // 100, max(16, free_bytes // BYTES_PER_REQUEST))
+    free_bytes = int((memory_mb * 1e6 - max(process_bytes, PROCESS_BYTES) - TABLES_BYTES) / (1.0 + ALLOCATOR_SHARE))
+    clients = min(free * 46 // 100, max(free_bytes // 4 // CONNECTION_BYTES, MIN_REQUESTS))
+    request_bytes = free_bytes - clients * CONNECTION_BYTES
+    requests = min(free * 37 // 100, max(MIN_REQUESTS, request_bytes // (REQUEST_BYTES + USUAL_MESSAGE_BYTES)))
     wakers = free * 7 // 100
     rest = free - clients - requests - wakers
     abandoned = min(rest // 4, MAX_ABANDONED)
-    bodies = _divide_body_memory(free_bytes - requests * BYTES_PER_REQUEST_WITHOUT_BODY, clients)
-    return Budget(clients, requests, wakers, rest - abandoned, abandoned, bodies)
+    message_bytes = request_bytes - requests * REQUEST_BYTES
+    bodies = _divide_message_memory(message_bytes, clients)
+    shortage_bytes = max(0, bodies.partial + bodies.reading + bodies.serving - message_bytes)
+    return Budget(clients, requests, wakers, rest - abandoned, abandoned, bodies, shortage_bytes)
 
 
-def _divide_body_memory(free_bytes: int, clients: int) -> BodyLimits:
-    """Half for parts of bodies at most, the rest for whole ones; at least one body can always be read and served."""
-    least, most = UNRESERVED_BODY_BYTES
-    unreserved = min(max(free_bytes // 2 // max(clients, 1), least), most)
-    whole = free_bytes - clients * unreserved
-    return BodyLimits(unreserved, max(whole // 3, MAX_BODY_BYTES), max(whole * 2 // 3, 3 * MAX_BODY_BYTES))
+def _divide_message_memory(message_bytes: int, clients: int) -> BodyLimits:
+    """Divide the memory for heads and bodies; at least one of each can always be read and served."""
+    least, most = UNRESERVED_BYTES
+    partial = max(int(message_bytes * PARTIAL_SHARE), 2 * least)
+    reading = max(int(message_bytes * READING_SHARE), MAX_BODY_BYTES)
+    serving = max(message_bytes - partial - reading, 2 * (MAX_BODY_BYTES + least))
+    return BodyLimits(min(max(partial // clients, least), most), partial, reading, serving)
--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -25,6 +25,7 @@
 
 import re
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -35,14 +36,15 @@
 from stonetrack.wire.errors import ProtocolError
 
 LOAD_HEADER, UNPROCESSED_HEADER = "x-backend-load", "x-unprocessed"
+_USED_HEADERS = frozenset({LOAD_HEADER, UNPROCESSED_HEADER})
 _LOAD_COMMENT = re.compile(rb"^: ?X-Backend-Load: ?([^\r\n]{1,1000})$", re.IGNORECASE | re.MULTILINE)
 _CACHED_TOKENS = re.compile(rb'"cached_tokens" ?: ?([0-9]{1,9})')
 _NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?([eE][+-]?[0-9]{1,2})?")
 _INVALID_REQUEST = frozenset({400, 404, 405, 406, 411, 413, 414, 415, 417, 422, 431, 501, 505})
 _MAX_INFORMATIONAL = 16  # 1xx answers ahead of the answer
-_MAX_BODY_BYTES = 65_536  # kept of an answer that is not a stream
+_MAX_BODY_BYTES = 32_768  # kept of an answer that is not a stream
 _TAIL_BYTES = 2_048  # last bytes of a stream, examined at its end
-_MAX_FIRST_EVENT_BYTES = 65_536
+_MAX_FIRST_EVENT_BYTES = 32_768
 
 ParseLoadReport = Callable[[str], LoadReport | None]
 
@@ -146,7 +148,8 @@
                 if self._informational > _MAX_INFORMATIONAL:
                     raise ProtocolError(f"over {_MAX_INFORMATIONAL} answers ahead of the answer")
                 return
-            self._head = event
+            used = [(name, value) for name, value in event.headers if name in _USED_HEADERS]
+            self._head = replace(event, headers=http1.Headers(used))  # kept for as long as the stream lasts
             self.reusable = event.keep_alive
             self._awaits_first = event.status == 200 and self._role is not Role.PREFILL
         elif isinstance(event, http1.Data):
--- a/stonetrack/edge/metrics.py
+++ b/stonetrack/edge/metrics.py
@@ -13,6 +13,7 @@
 
 from stonetrack.engines.pool import Discarded
 from stonetrack.node.invariants import Invariant
+from stonetrack.node.memory import resident_bytes
 
 if TYPE_CHECKING:
     from stonetrack.edge.serve import EdgeNode
@@ -50,6 +51,7 @@
             "discarded_connections", "Idle connections to engines that could not be reused", "why", discarded
         )
         yield self._gauges()
+        yield self._memory()
 
     @staticmethod
     def _counter(name: str, help_text: str, label: str, counts: Counter[Any] | dict[Any, int]) -> Any:
@@ -77,6 +79,20 @@
             family.add_metric([kind], count)
         return family
 
+    def _memory(self) -> Any:
+        from prometheus_client.core import GaugeMetricFamily
+
+        bodies = self._node.host.bodies
+        family = GaugeMetricFamily(PREFIX + "memory_bytes", "Memory, by what takes it", labels=["kind"])
+        for kind, size in (
+            ("resident", resident_bytes()),
+            ("incomplete_requests", bodies.partial_bytes),
+            ("bodies_reserved", bodies.reserved_bytes),
+            ("requests_served", bodies.served_bytes),
+        ):
+            family.add_metric([kind], size)
+        return family
+
 
 def exposition(node: EdgeNode) -> str:
     """All metrics of a node in the Prometheus text format."""
--- a/stonetrack/edge/requests.py
+++ b/stonetrack/edge/requests.py
@@ -50,7 +50,7 @@
         self.status = status
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ForwardedRequest:
     """What is forwarded to the engines unchanged, and the time up to which the client waits for the first event (node's
     clock, ns)."""
@@ -60,6 +60,10 @@
     deadline: int
     headers: tuple[tuple[str, str], ...] = ()
 
+    def discard(self) -> None:
+        """Free what is forwarded, once no further attempt can follow."""
+        self.data, self.headers = b"", ()
+
 
 def parse_time_left(text: str) -> int:
     """Parse a time-left header to nanoseconds.  Raises BadRequest."""
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -20,6 +20,7 @@
 import threading
 import time
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 from pathlib import Path
 
 from stonetrack import simulator_adapter
@@ -27,7 +28,7 @@
 from stonetrack.clocks import node_clock
 from stonetrack.edge import metrics, requests
 from stonetrack.edge.abandoned import AbandonedPrefills
-from stonetrack.edge.budget import MAX_BODY_BYTES, divide_budget
+from stonetrack.edge.budget import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_HEADERS, SEND_BUFFER_BYTES, divide_budget
 from stonetrack.edge.calls import EngineCalls
 from stonetrack.edge.config import Config, ConfigError, deployment_mismatch, parse
 from stonetrack.edge.engine_table import EngineTable, ServerListError
@@ -41,11 +42,13 @@
 from stonetrack.frontend.connection import Connection, HttpRequest
 from stonetrack.frontend.host import Host, listen
 from stonetrack.node.core import Core
+from stonetrack.node.memory import resident_bytes
 from stonetrack.node.ports import InferenceRequest
 from stonetrack.node.records import Records
 from stonetrack.node.request_lifecycle import RequestLifecycle
 from stonetrack.node.request_runner import Bounds, RequestRunner, Waker
 from stonetrack.settings.schema import Limits, Timing
+from stonetrack.wire import http1
 
 SECOND = 1_000_000_000
 STACK_BYTES = 256 * 1024
@@ -72,7 +75,10 @@
     def __init__(self, config: Config, traced: bool = False) -> None:
         self.config, self._traced = config, traced
         self.clock = node_clock()
-        budget = divide_budget(config.limits.sockets, config.limits.memory_mb)
+        budget = divide_budget(config.limits.sockets, config.limits.memory_mb, resident_bytes())
+        if budget.shortage_bytes:
+            least = config.limits.memory_mb + budget.shortage_bytes / 1e6
+            log(f"memory_mb: found {config.limits.memory_mb:g}; with less than {least:.0f} the limit may be exceeded")
         self._router_instance = simulator_adapter.Instance({**config.settings_pairs, "entropy": str(config.seed)})
         record = self._recorder() if traced else None
         self.core = Core(
@@ -114,7 +120,7 @@
         self.engine_table = EngineTable(config.kinds, config.zones, tuple(kind.role for kind in settings.kinds))
         self.classes = {cls.name: n for n, cls in enumerate(settings.classes)}
         self.tenants = {tenant.name: n for n, tenant in enumerate(settings.tenants)}
-        self.bounds = Bounds(STREAM_SILENCE_NS, CLIENT_STALL_NS, 64 << 10)
+        self.bounds = Bounds(STREAM_SILENCE_NS, CLIENT_STALL_NS, SEND_BUFFER_BYTES)
         self.watch = DiscoveryWatch(config.discovery, lambda: self.engine_table.rev, self._apply_list, log)
         self._reported_skipped: frozenset[str] = frozenset()  # unusable entries of the last list, already logged
         self._refuse_after = 0  # monotonic ns from which on requests are refused; 0 for never
@@ -125,8 +131,8 @@
             Limits(
                 connections=budget.clients,
                 workers=budget.requests,
-                head_bytes=16_384,
-                headers=64,
+                head_bytes=MAX_HEAD_BYTES,
+                headers=MAX_HEADERS,
                 body_bytes=MAX_BODY_BYTES,
                 socket_send_bytes=0,
             ),
@@ -216,8 +222,11 @@
         request_id = parsed.request_id
         with self._request_ids_lock:
             is_new = self._request_ids.begin(request_id, self.clock())
+        request.head = replace(head, headers=http1.Headers())  # the message to the engines has those that are needed
+        del head
         if not is_new:
             return sink.respond(409, f"request {request_id} has come before: every request needs an id of its own")
+        sink.on_begin = lambda: self._message_done(connection, request, parsed)
         attempted = True  # also where the request ends with an exception
         try:
             lifecycle = self._run_request(parsed, sink, waker)
@@ -227,6 +236,12 @@
                 self._request_ids.end(request_id, attempted, self.clock())
         return sink.keep and not lifecycle.client_gone
 
+    def _message_done(self, connection: Connection, request: HttpRequest, parsed: InferenceRequest) -> None:
+        """The answer has begun: no further attempt follows, and the message to the engines is not needed any more."""
+        request.body = b""
+        parsed.body.discard()
+        self.host.bodies.message_done(connection)
+
     def _run_request(self, request: InferenceRequest, sink: EdgeSink, waker: Waker) -> RequestLifecycle:
         cls = self.config.settings.classes[request.class_index]
         self.records.open(request.request_id, f"{cls.name} ({cls.effect.value})", cls.effect, request.body.deadline)
--- a/stonetrack/edge/sink.py
+++ b/stonetrack/edge/sink.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from stonetrack.frontend.connection import Connection, HttpRequest
 from stonetrack.frontend.connection_sink import ConnectionSink
 from stonetrack.frontend.host import plain_response
@@ -27,17 +29,19 @@
 class EdgeSink(ConnectionSink):
     """The answer to one request on its client's connection."""
 
-    __slots__ = ("_head", "final_kind", "keep", "request")
+    __slots__ = ("_head", "final_kind", "keep", "on_begin", "request")
 
     def __init__(self, connection: Connection, request: HttpRequest) -> None:
         super().__init__(connection)
         self.request = request
+        self.on_begin: Callable[[], None] = lambda: None
         self.keep = request.head.keep_alive
         self.final_kind = ""
         self._head = b""
 
     def begin(self) -> None:
         """Begin a streamed answer; its head is sent with the first event."""
+        self.on_begin()
         self.keep = self.keep and not self.connection.closes_after_response and self.request.head.accepts_chunked
         fields = [("Content-Type", "text/event-stream"), *(() if self.keep else (("Connection", "close"),))]
         head = writer.chunked_head if self.request.head.accepts_chunked else writer.close_delimited_head
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -12,6 +12,8 @@
 from stonetrack.node.ports import AttemptEvent, AttemptResult
 from stonetrack.node.sockets import ResourceExhausted
 
+_READ_BYTES = 16_384  # of one read; what is read of a stream waits for its client in memory
+_DISCARD_BYTES = 65_536  # of one read of an answer that nobody needs
 _END_WAIT_MS = 5  # wait for the end of the message after the outcome, so that the connection can be reused
 _ALL_SENT = memoryview(b"")
 _MAX_EXHAUSTED = 60  # consecutive calls without resources, each of them retried, after which an attempt is cancelled
@@ -113,7 +115,7 @@
 
     def _read(self, sock: socket.socket) -> list[AttemptEvent]:
         try:
-            data = sockets.receive(sock, 65_536)
+            data = sockets.receive(sock, _READ_BYTES)
         except BlockingIOError:
             return []
         except ResourceExhausted as error:
@@ -198,7 +200,7 @@
             reads = 0
             while reads < 64 and sockets.readable(sock, self._cancel_timeout * 1000.0):
                 reads += 1
-                if not sockets.receive(sock, 65_536):
+                if not sockets.receive(sock, _DISCARD_BYTES):
                     closed = True
                     break
         if closed or self._unsent_bytes or self._on_abandoned is None:
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -15,6 +15,7 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MAX_DISCARD_READS = 16  # reads of input that a client sends after its last response
 _READ_BYTES = 65_536
+READ_AHEAD_BYTES = 4_096  # kept of what a client sends behind its open request
 
 
 @dataclass(slots=True)
@@ -46,6 +47,7 @@
     __slots__ = (
         "_body",
         "_head",
+        "_head_bytes",
         "_head_read_at",
         "response_started",
         "request_started_at",
@@ -64,7 +66,7 @@
     )
 
     def __init__(
-        self, sock: socket.socket, limits: http1.Limits, state: HostState, read_ahead_bytes: int = 65_536
+        self, sock: socket.socket, limits: http1.Limits, state: HostState, read_ahead_bytes: int = READ_AHEAD_BYTES
     ) -> None:
         self.sock = sock
         self.state = state
@@ -82,6 +84,7 @@
             0  # monotonic ns: when the host stopped reading for the first time in this request; 0 if never
         )
         self._head: http1.RequestHead | None = None
+        self._head_bytes = 0  # memory that the head takes
         self._head_read_at = 0
         self._body = bytearray()
 
@@ -98,6 +101,7 @@
         for event in self.reader.feed(data, messages=1):
             if isinstance(event, http1.RequestHead):
                 self._head, self._head_read_at, self._body = event, now, bytearray()
+                self._head_bytes = event.headers.memory_bytes
                 if event.headers.get("expect").lower() == "100-continue" and event.length != 0:
                     self.write(_CONTINUE)
             elif isinstance(event, http1.Data):
@@ -133,14 +137,19 @@
             return True
 
     def discard_body(self) -> None:
-        """Free the body read so far."""
-        self._head, self._body = None, bytearray()
+        """Free the head and the body read so far."""
+        self._head, self._head_bytes, self._body = None, 0, bytearray()
 
     @property
     def partial_body_bytes(self) -> int:
         """Number of bytes read of an incomplete body."""
         return len(self._body)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory for what was read of an incomplete request: its head, the body so far, and bytes not parsed yet."""
+        return self.reader.held_bytes + self._head_bytes + len(self._body)
+
     @property
     def body_length(self) -> int | None:
         """Announced length in bytes of the body that is awaited; None if it is not known."""
--- a/stonetrack/frontend/host.py
+++ b/stonetrack/frontend/host.py
@@ -226,7 +226,7 @@
             with contextlib.suppress(OSError):
                 sockets.SYSTEM.set_option(sock, socket.SOL_SOCKET, socket.SO_SNDBUF, self.limits.socket_send_bytes)
         try:
-            connection = Connection(sock, self._wire, self.state, self.bodies.limits.unreserved)
+            connection = Connection(sock, self._wire, self.state)
         except MemoryError:
             self._reject_socket(sock, "out of memory")
             return
@@ -305,6 +305,7 @@
         self._parked[connection.fileno()] = connection
         if not self._watch(connection):
             return
+        self._hold_partial(connection)
         idle = connection.requests_read and connection.reader.idle and not connection.linger_until
         if self.state.draining and idle:
             self._close_if_idle(connection)
@@ -440,6 +441,14 @@
             self._hand_over(connection, request)
         elif self.bodies.exceeds_reservation(connection):
             self._reject_and_linger(connection, 503, "the body takes more memory than this instance has for bodies")
+        else:
+            self._hold_partial(connection)
+
+    def _hold_partial(self, connection: Connection) -> None:
+        """Count what a connection holds of an incomplete request; reject those that hold most if all hold too much."""
+        for rejected in self.bodies.hold(connection):
+            self.rejected += 1
+            self._reject_and_linger(rejected, 503, "incomplete requests take all memory")
 
     def _reject_and_linger(self, connection: Connection, status: int, reason: str) -> None:
         """Reject a request, and close once the client has had time to read the response.
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -75,6 +75,10 @@
     chunk_line: int = 1_024
 
 
+FIELD_BYTES = 192  # of memory for a header field beside its characters: a tuple and two strings
+_LINE_BYTES = 64  # of memory for a line of a head that is not complete, beside its characters
+
+
 class Headers:
     """Header fields in order; names in lower case, values as latin-1 text without surrounding white space."""
 
@@ -98,6 +102,11 @@
         """The members of a comma-separated field, in lower case."""
         return [part.strip().lower() for value in self.all(name) for part in value.split(",") if part.strip()]
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory that the fields take."""
+        return sum(FIELD_BYTES + len(name) + len(value) for name, value in self.items)
+
     def __contains__(self, name: str) -> bool:
         return any(key == name for key, _ in self.items)
 
@@ -208,6 +217,12 @@
         """Number of bytes that were received and not parsed yet."""
         return len(self._buffer)
 
+    @property
+    def held_bytes(self) -> int:
+        """Memory for what was received and not passed on: ``buffered_bytes``, and the lines of an incomplete head."""
+        lines = self._size + _LINE_BYTES * len(self._lines) if self._lines else 0
+        return len(self._buffer) + lines
+
     @property
     def state(self) -> str:
         """The part of the message that is expected next, for errors and logs."""
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import os
+import re
 import signal
 import subprocess
 import sys
+import tomllib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -21,6 +23,8 @@
 from tests.harness import Client, wait_for
 from tests.test_edge import SETTINGS
 
+ROOT = Path(__file__).parent.parent
+
 __all__ = ["CHAT", "LOAD_REPORT", "Platform", "Program", "round_trip", "is_idle", "free_port", "headers", "node",
            "platform", "program", "is_serving"]  # fmt: skip
 
@@ -93,13 +97,19 @@
     return status == 200
 
 
+def run_environment() -> dict[str, str]:
+    """The variables that ``run`` of the deploy file sets."""
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text("utf-8"))["run"]
+    return dict(re.findall(r"\b([A-Z_]+)=(\S+)", run))
+
+
 class Program:
     """The node as a process of its own, with its configuration in a file."""
 
     def __init__(self, emulated_platform: Platform, folder: Path, **limits: Any) -> None:
         self.path = folder / "config.json"
         self.path.write_bytes(emulated_platform.config(**limits))
-        env = {**os.environ, "EDGE_CONFIG": str(self.path), "MALLOC_ARENA_MAX": "1"}  # as in deploy/balancer.toml
+        env = {**os.environ, "EDGE_CONFIG": str(self.path), **run_environment()}
         self.process = subprocess.Popen([sys.executable, "-m", "stonetrack", "edge"], env=env, stderr=subprocess.PIPE)
         assert wait_for(lambda: is_serving(emulated_platform.listen)), "the node did not start in time"
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -293,23 +293,29 @@
     )
 
 
-@pytest.mark.parametrize(
-    ("sockets", "memory"),
-    [(256, 32), (512, 64), (512, 96), (768, 112), (960, 112), (896, 120), (1_056, 120), (1_024, 192)],
-)
-def test_memory_shares_never_exceed_the_limit(sockets: int, memory: int) -> None:
-    """Guards against a node that is killed for the bodies of requests, each of them within its own bound."""
-    shares = budget.divide_budget(sockets, memory)
+@pytest.mark.parametrize("memory", [32, 40, 48, 64, 96, 112, 128, 192])
+@pytest.mark.parametrize("sockets", [256, 512, 768, 960, 1_024, 1_056])
+@pytest.mark.parametrize("process_bytes", [0, 18_000_000, 21_000_000])
+def test_memory_shares_never_exceed_the_limit(sockets: int, memory: int, process_bytes: int) -> None:
+    """Guards against a node that is killed for what its clients send, each of them within its own bound."""
+    shares = budget.divide_budget(sockets, memory, process_bytes)
     bodies = shares.bodies
-    assert min(bodies.reading, bodies.serving) >= budget.MAX_BODY_BYTES and bodies.unreserved >= 16_384
-    assert (
-        budget.BASE_BYTES
-        + shares.requests * budget.BYTES_PER_REQUEST_WITHOUT_BODY
-        + shares.clients * bodies.unreserved
+    assert min(bodies.reading, bodies.serving) >= budget.MAX_BODY_BYTES
+    assert bodies.partial >= bodies.unreserved >= budget.MAX_HEAD_BYTES + budget.MAX_HEADERS * http1.FIELD_BYTES
+    allocated = (
+        shares.requests * budget.REQUEST_BYTES
+        + shares.clients * budget.CONNECTION_BYTES
+        + bodies.partial
         + bodies.reading
         + bodies.serving
-        <= memory * 1_000_000
     )
+    process = max(process_bytes, budget.PROCESS_BYTES) + budget.TABLES_BYTES
+    assert process + allocated * (1 + budget.ALLOCATOR_SHARE) <= memory * 1_000_000
+    assert not shares.shortage_bytes
+
+
+def test_memory_that_is_too_small_for_the_least_shares_is_told() -> None:
+    assert budget.divide_budget(1_024, 32, 27_000_000).shortage_bytes > 0
 
 
 @pytest.mark.parametrize("memory", [40, 192])
