Input that is costly to read, and ever new names, no longer harm other clients

One client with ever new names made a node grow by 0.25 MB a second.

Cause: one thread reads and parses for all clients, and nothing bounded the time that one connection's input takes before the next has its turn (47 ms for 64 KiB of such chunks). The router's prefix tables were bounded in blocks of 16 tokens, so up to 31,250 names for each engine, some 400 bytes each.

Change: input is read in turns of about 1 ms, first from those whose input has taken least time; chunks with short extensions parse four times faster. All prefix tables together have a bound in entries, from memory_mb on the platform.

--- a/stonetrack/capture/snapshot.py
+++ b/stonetrack/capture/snapshot.py
@@ -70,6 +70,7 @@
 ENUMS: dict[str, type[Enum]] = {
     cls.__name__: cls for cls in (api.Role, api.ServerState, api.Effect, api.Scope, logic.Phase)
 }
+_LIMITS = frozenset({"max_prefix_entries"})  # of the process, no part of a router's state
 _APART = ("settings", "actions", "pools", "by_probe")  # stored apart, or derived from the settings
 
 
@@ -84,7 +85,7 @@
 
 
 def _check(router: logic.Router) -> None:
-    found = by_stored_name("Router", vars(router))
+    found = by_stored_name("Router", set(vars(router)) - _LIMITS)
     if set(found) != set(ROUTER):
         raise SnapshotError(f"the router holds {sorted(set(found) ^ set(ROUTER))}, which snapshots do not know")
 
--- a/stonetrack/edge/budget.py
+++ b/stonetrack/edge/budget.py
@@ -11,6 +11,7 @@
 part                   bound
 =====================  ==================================================================================
 the process            resident memory when the node is made, and ``TABLES_BYTES``
+prefixes               ``PREFIX_SHARE`` of all memory; the router's tables
 each running request   ``REQUEST_BYTES``: its thread, and what waits to be sent or is received of an engine
 each client            ``CONNECTION_BYTES``
 incomplete requests    ``BodyLimits.partial``, by their bytes
@@ -36,7 +37,8 @@
 MAX_HEAD_BYTES, MAX_HEADERS = 16_384, 64
 SEND_BUFFER_BYTES = 16_384  # unsent data of a stream beyond which its engine is not read
 PROCESS_BYTES = 14_000_000  # interpreter and imports, at least
-TABLES_BYTES = 6_000_000  # ids, records, prefix tables, releases, and the modules loaded for the first metrics page
+TABLES_BYTES = 7_000_000  # ids, records, releases, and the modules loaded for the first metrics page
+PREFIX_SHARE, PREFIX_ENTRY_BYTES = 0.06, 450  # for a key of 200 characters
 THREAD_BYTES = 32_768  # stack, interpreter state and objects of a request's thread
 RESPONSE_BYTES = 40_960  # of a first event, or of unsent data: the send buffer, one more read, their overhead
 REQUEST_BYTES = THREAD_BYTES + RESPONSE_BYTES + READ_AHEAD_BYTES
@@ -58,13 +60,16 @@
     idle_connections: int  # idle connections to engines
     abandoned: int  # connections of attempts that were cancelled without their engine's answer
     bodies: BodyLimits  # memory for heads and bodies
+    prefix_entries: int  # prefixes that the router remembers
     shortage_bytes: int  # by which the least shares exceed the memory; 0 where they fit
 
 
 def divide_budget(sockets: int, memory_mb: float, process_bytes: int = PROCESS_BYTES) -> Budget:
     """Divide ``sockets`` descriptors and the memory; the numbers of clients and requests are bounded by both."""
     free = sockets - FIXED_DESCRIPTORS - BACKGROUND_CALL_DESCRIPTORS
-    free_bytes = int((memory_mb * 1e6 - max(process_bytes, PROCESS_BYTES) - TABLES_BYTES) / (1.0 + ALLOCATOR_SHARE))
+    prefix_bytes = int(memory_mb * 1e6 * PREFIX_SHARE)
+    fixed_bytes = max(process_bytes, PROCESS_BYTES) + TABLES_BYTES + prefix_bytes
+    free_bytes = int((memory_mb * 1e6 - fixed_bytes) / (1.0 + ALLOCATOR_SHARE))
     clients = min(free * 46 // 100, max(free_bytes // 4 // CONNECTION_BYTES, MIN_REQUESTS))
     request_bytes = free_bytes - clients * CONNECTION_BYTES
     requests = min(free * 37 // 100, max(MIN_REQUESTS, request_bytes // (REQUEST_BYTES + USUAL_MESSAGE_BYTES)))
@@ -74,7 +79,16 @@
     message_bytes = request_bytes - requests * REQUEST_BYTES
     bodies = _divide_message_memory(message_bytes, clients)
     shortage_bytes = max(0, bodies.partial + bodies.reading + bodies.serving - message_bytes)
-    return Budget(clients, requests, wakers, rest - abandoned, abandoned, bodies, shortage_bytes)
+    return Budget(
+        clients,
+        requests,
+        wakers,
+        rest - abandoned,
+        abandoned,
+        bodies,
+        prefix_bytes // PREFIX_ENTRY_BYTES,
+        shortage_bytes,
+    )
 
 
 def _divide_message_memory(message_bytes: int, clients: int) -> BodyLimits:
--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -80,6 +80,7 @@
             least = config.limits.memory_mb + budget.shortage_bytes / 1e6
             log(f"memory_mb: found {config.limits.memory_mb:g}; with less than {least:.0f} the limit may be exceeded")
         self._router_instance = simulator_adapter.Instance({**config.settings_pairs, "entropy": str(config.seed)})
+        self._router_instance.router.max_prefix_entries = budget.prefix_entries
         record = self._recorder() if traced else None
         self.core = Core(
             self._router_instance.router,
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -58,6 +58,8 @@
         "pending",
         "read_ahead_bytes",
         "read_at",
+        "read_bytes",
+        "read_cost_ns",
         "reader",
         "requests_read",
         "sock",
@@ -80,6 +82,7 @@
         self.parked_at = self.request_started_at = 0  # monotonic ns: idle since; first byte of a request
         self.closed = False
         self.read_at = 0  # monotonic ns: when bytes were read last
+        self.read_bytes = self.read_cost_ns = 0  # input since the connection was parked, and the time that it took
         self.unread_since = (
             0  # monotonic ns: when the host stopped reading for the first time in this request; 0 if never
         )
@@ -97,6 +100,7 @@
         now = time.monotonic_ns()
         if data:
             self.read_at = now
+            self.read_bytes += len(data)
             self.request_started_at = self.request_started_at or now
         for event in self.reader.feed(data, messages=1):
             if isinstance(event, http1.RequestHead):
--- a/stonetrack/frontend/host.py
+++ b/stonetrack/frontend/host.py
@@ -27,6 +27,8 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from operator import attrgetter
 
 from stonetrack.frontend.body_memory import BodyLimits, BodyMemory
 from stonetrack.frontend.connection import Connection, HostState, HttpRequest
@@ -43,6 +45,9 @@
 _NEXT_REQUEST_WAIT_MS = 2  # a worker's wait for the next request before it parks the connection
 _WORKER_IDLE_S = 15.0
 _ACCEPT_TIMEOUT = struct.pack("ll", 0, 200_000)  # struct timeval: how often accept(2) returns to check for a drain
+# A connection's input is read in turns of about _STEP_NS, after a first one of _FIRST_READ_BYTES; those whose input has
+# taken least time come first, and after _TURN_NS what has become readable meanwhile is considered, too.
+_FIRST_READ_BYTES, _STEP_NS, _TURN_NS = 4_096, 1_000_000, 20_000_000
 _LINGER_NS = 2_000_000_000  # for a client to read the last response while it still sends
 _DRAIN_FIRST_REQUEST_NS = 1_000_000_000  # wait for a new connection's first request while draining
 _CROWDED_SHARE = 7 / 8  # share of the connection limit above which unused connections are closed
@@ -265,16 +270,14 @@
     def _park_loop(self) -> None:
         last_overdue_check = 0.0
         while not self._stopped.is_set():
-            ready = sockets.call_with_retries(SystemCall.POLL, lambda: self._epoll.poll(0.25, 256))
+            ready = sockets.call_with_retries(
+                SystemCall.POLL, partial(self._epoll.poll, 0.25, self.limits.connections + 1)
+            )
             with self._lock:
                 if self._reading_stopped:
                     return
                 self._moving_connections = True
-            for fd, _ in ready:
-                if fd == self._park_waker.fd:
-                    self._park_waker.clear()
-                elif (connection := self._parked.get(fd)) is not None:
-                    self._run_step(self._read_parked, connection)
+            self._read_ready([fd for fd, _ in ready])
             while self._to_park:
                 self._run_step(self._park_connection, self._to_park.popleft())
             if self.state.closing_after_responses and not self._idle_closed:
@@ -292,16 +295,42 @@
             self._close(connection)
         self._epoll.close()
 
+    def _read_ready(self, ready: list[int]) -> None:
+        """Read from the connections with these descriptors, in order of the time that their input has taken so far.
+
+        Input that is costly to parse, from hundreds of clients at once, thus delays only its own kind.
+        """
+        if self._park_waker.fd in ready:
+            self._park_waker.clear()
+        connections = [connection for fd in ready if (connection := self._parked.get(fd)) is not None]
+        connections.sort(key=attrgetter("read_cost_ns"))
+        until = time.monotonic_ns() + _TURN_NS
+        for connection in connections:
+            if connection.read_cost_ns and time.monotonic_ns() > until:
+                return
+            if self._parked.get(connection.fileno()) is connection:
+                self._run_step(self._read_parked, connection)
+
+    def _read_size(self, connection: Connection) -> int:
+        """The number of bytes to read in one turn; 0 if the connection has to wait for memory."""
+        size = _FIRST_READ_BYTES
+        if connection.read_cost_ns:
+            size = max(size, connection.read_bytes * _STEP_NS // connection.read_cost_ns)
+        return min(size, self.bodies.readable_bytes(connection))
+
     def _run_step(self, step: Callable[[Connection], None], connection: Connection) -> None:
         """Run one connection's step; a failure, such as exhausted memory, is answered to that client alone."""
+        started = time.monotonic_ns()
         try:
             step(connection)
         except Exception as error:
             self._log(f"client connection failed: {type(error).__name__}: {error}")
             self._respond_and_close(connection, 503, "this instance is short of means")
+        connection.read_cost_ns += time.monotonic_ns() - started
 
     def _park_connection(self, connection: Connection) -> None:
         connection.parked_at = time.monotonic_ns()
+        connection.read_bytes = connection.read_cost_ns = 0
         self._parked[connection.fileno()] = connection
         if not self._watch(connection):
             return
@@ -362,8 +391,9 @@
             c for c in oldest if c.request_started_at and not c.linger_until and now - c.request_started_at > _SLOW_NS
         ]
         idle = [c for c in oldest if c.requests_read and not c.request_started_at and now - c.parked_at > _SILENT_NS]
+        until = now + _TURN_NS
         for connection in (*silent, *lingering, *slow, *idle):
-            if self.connections < _CROWDED_SHARE * self.limits.connections:
+            if self.connections < _CROWDED_SHARE * self.limits.connections or time.monotonic_ns() > until:
                 return
             if not connection.linger_until and sockets.readable(connection.sock):
                 self._run_step(self._read_parked, connection)
@@ -413,7 +443,7 @@
         if connection.linger_until:
             self._discard_input(connection)
             return
-        size = self.bodies.readable_bytes(connection)
+        size = self._read_size(connection)
         if size == 0:
             connection.unread_since = connection.unread_since or time.monotonic_ns()
             self._unwatch(connection)
@@ -611,7 +641,7 @@
             following = connection.feed(b"")
             wait = 0 if self.state.draining else _NEXT_REQUEST_WAIT_MS
             if following is None and connection.reader.idle and sockets.readable(connection.sock, wait):
-                data = sockets.receive(connection.sock, self.bodies.readable_bytes(connection))
+                data = sockets.receive(connection.sock, min(_READ_BYTES, self.bodies.readable_bytes(connection)))
                 if not data:
                     self._close(connection)
                     return None
--- a/stonetrack/logic.py
+++ b/stonetrack/logic.py
@@ -204,7 +204,13 @@
 
 
 class Router:
-    """Decisions of one node: :meth:`handle` takes an event and returns actions to carry out.  No randomness."""
+    """Decisions of one node: :meth:`handle` takes an event and returns actions to carry out.  No randomness.
+
+    ``max_prefix_entries`` bounds the prefixes remembered for all servers together; a process may set what its memory
+    allows.
+    """
+
+    max_prefix_entries = 1_000_000
 
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings = settings
@@ -805,8 +811,7 @@
                 max(request.prompt_tokens - self._cached_tokens(server, request), BLOCK_TOKENS)
             )
             self.prefill_work.add(request.prefill_tokens, 1.0)
-            for key, tokens in request.prefix_keys:
-                server.prefix_table.record(key, min(tokens, request.prompt_tokens), self.now)
+            self._record_prefixes(server, request)
             server.pending_tokens += request.prefill_tokens
             fixed = self.prefill_work.ratio()  # the fixed cost of a prefill, taken as that of one mean prompt
             request.queued_units = max(server.pending_tokens, before + request.prefill_tokens) + fixed
@@ -816,6 +821,19 @@
         self._set_late_at(request, server)
         self.actions.append(api.Send(request.name, server.name, request.deadline - self.now))
 
+    def _record_prefixes(self, server: Server, request: Request) -> None:
+        """Remember the prompt's prefixes for the server that prefills it.
+
+        Exception (bound in entries): guards against memory that grows with ever new names of short prompts, which the
+        bound in blocks allows; acts when a server's table has more than its equal part of ``max_prefix_entries``."""
+        table = server.prefix_table
+        for key, tokens in request.prefix_keys:
+            table.record(key, min(tokens, request.prompt_tokens), self.now)
+        tables = sum(1 for each in self.servers.values() if each.role is not Role.DECODE)
+        most = self.max_prefix_entries // max(tables, 1)
+        while len(table.entries) > max(most, len(request.prefix_keys)):
+            table.drop(next(iter(table.entries)))
+
     def _set_late_at(self, request: Request, server: Server) -> None:
         """An attempt is late after a share of the time left to the latency target or, past that, to the deadline."""
         left = request.arrived_at + request.latency_target - self.now
--- a/stonetrack/node/records.py
+++ b/stonetrack/node/records.py
@@ -16,7 +16,7 @@
 from stonetrack.node.invariants import Invariant, Ledger, Refusal, Violation
 from stonetrack.node.transitions import Step, Transition
 
-MAX_RECORDS = 4_096  # beyond this the oldest whose threads have finished are dropped
+MAX_RECORDS = 1_024  # beyond this the oldest whose threads have finished are dropped
 MAX_STEPS = 48  # steps of one request in its log line: the first and the last half
 SECOND = 1_000_000_000
 MAX_LINES_PER_SECOND = 20  # log lines of requests; further ones are only counted
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -32,7 +32,10 @@
 _TARGET = re.compile(rb"[!-~]+")  # visible ASCII: no spaces or control bytes
 _INVALID_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 _CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(;[^\x00-\x08\x0a-\x1f\x7f]*)?")
-_SIMPLE_CHUNK_SIZE = re.compile(rb"[1-9A-Fa-f][0-9A-Fa-f]{0,6}")
+_SHORT_EXTENSION = 64  # bytes of a chunk extension that is skipped without the state machine
+_SIMPLE_CHUNK_LINE = re.compile(
+    rb"([1-9A-Fa-f][0-9A-Fa-f]{0,6})(?:;[^\x00-\x08\x0a-\x1f\x7f]{0,%d})?\r\n" % _SHORT_EXTENSION
+)
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([^\x00-\x08\x0a-\x1f\x7f]*))?")
 _BODYLESS_STATUSES = frozenset({204, 304})
 
@@ -368,20 +371,22 @@
         """Parse all complete chunks in the buffer into one ``Data``.
 
         This is the common case for a stream, and takes a third of the time of stepping through the states.  Chunks with
-        extensions, leading zeros or errors are left to the state machine.
+        long extensions, leading zeros or errors are left to the state machine.
         """
         buffer, at, total, limit = self._buffer, self._consumed, self._size, self.limits.body
+        match_line = _SIMPLE_CHUNK_LINE.match
         data = []
         while True:
-            end = buffer.find(b"\r\n", at, at + 10)
-            if end < 0 or not _SIMPLE_CHUNK_SIZE.fullmatch(buffer, at, end):
+            line = match_line(buffer, at)
+            if line is None:
                 break
-            size = int(buffer[at:end], 16)
-            stop = end + 2 + size
-            if total + size > limit or buffer[stop : stop + 2] != b"\r\n":
+            size = int(line[1], 16)
+            start = line.end()
+            stop = start + size
+            if total + size > limit or not buffer.startswith(b"\r\n", stop):
                 break
             total += size
-            data.append(buffer[end + 2 : stop])
+            data.append(buffer[start:stop])
             at = stop + 2
         if not data:
             return False
