A long answer is no longer cut off while its client reads or its engine writes slowly

Cause: after a client had taken what waited for it, the request's thread went on with the set of descriptors in which the engine is not read, until the stream counted as silent. poll(2) reports room for a slow client too late for the 10 s in which it counts as gone. Bytes that complete no part of a stream did not count as its engine's progress.

Giving up an attempt has one deadline (0.1 s, before up to 64 reads of 20 ms), and none where its request is not sent whole.

That a final answer comes late where engines read a large request slowly is not shown on this program, before or after.

--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 
 _READ_BYTES = 16_384  # of one read; what is read of a stream waits for its client in memory
 _DISCARD_BYTES = 65_536  # of one read of an answer that nobody needs
+_CANCEL_LIMIT = 5  # times the cancel timeout, for an engine that goes on sending
 _END_WAIT_MS = 5  # wait for the end of the message after the outcome, so that the connection can be reused
 _ALL_SENT = memoryview(b"")
 _MAX_EXHAUSTED = 60  # consecutive calls without resources, each of them retried, after which an attempt is cancelled
@@ -186,8 +188,9 @@
         """Cancel the attempt, and wait until the engine has noticed, so that attempts do not overlap.
 
         The sending side is shut down first.  A live engine then closes its side at once; waiting for that, up to
-        ``cancel_timeout`` seconds for each read, keeps the order of two attempts at different engines whatever the
-        network delays.  If the engine does not close, the connection is reset, or passed to ``on_abandoned``.
+        ``cancel_timeout`` seconds for each read and ``_CANCEL_LIMIT`` times as long in all, keeps the order of two
+        attempts at different engines whatever the network delays.  If the engine does not close, the connection is
+        reset, or passed to ``on_abandoned``.  An engine that has not got the whole request has not begun.
 
         Fulfils ``Obligation.ATTEMPT``.
         """
@@ -195,15 +198,21 @@
             return
         self._sock = None
         closed = False
-        with contextlib.suppress(OSError):
-            sock.shutdown(socket.SHUT_WR)
-            reads = 0
-            while reads < 64 and sockets.readable(sock, self._cancel_timeout * 1000.0):
-                reads += 1
-                if not sockets.receive(sock, _DISCARD_BYTES):
-                    closed = True
-                    break
+        if not self._unsent_bytes:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_WR)
+                closed = self._wait_for_close(sock)
         if closed or self._unsent_bytes or self._on_abandoned is None:
             sockets.reset(sock)
         else:
             self._on_abandoned(sock)
+
+    def _wait_for_close(self, sock: socket.socket) -> bool:
+        """Discard what the engine still sends; return whether it closed in time.  Raises OSError."""
+        until = time.monotonic() + _CANCEL_LIMIT * self._cancel_timeout
+        while (left := until - time.monotonic()) > 0 and sockets.readable(
+            sock, min(left, self._cancel_timeout) * 1_000.0
+        ):
+            if not sockets.receive(sock, _DISCARD_BYTES):
+                return True
+        return False
--- a/stonetrack/frontend/connection.py
+++ b/stonetrack/frontend/connection.py
@@ -216,8 +216,9 @@
             if len(self.pending) < left:
                 progress, left = time.monotonic(), len(self.pending)
             until = progress + stall - time.monotonic()
-            if until <= 0 or not sockets.poll(poller, until * 1000.0):
+            if until <= 0:
                 raise ClientDisconnected("the client takes nothing")
+            sockets.poll(poller, until * 1000.0)  # may report no room although some is free: :meth:`flush` finds it
 
     # Closing.
 
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -78,6 +78,12 @@
     data: bytes
 
 
+class StreamProgress:
+    """Bytes of a stream arrived that complete no part of the answer: its engine goes on writing."""
+
+    __slots__ = ()
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
     """The final outcome of an attempt.
@@ -95,7 +101,7 @@
     rejection: tuple[int, dict[str, Any]] | None = None
 
 
-AttemptEvent = AnswerStarted | AnswerPart | AttemptResult
+AttemptEvent = AnswerStarted | AnswerPart | StreamProgress | AttemptResult
 
 
 # Final answers.
--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -262,6 +262,9 @@
         """Handle an event of the attempt in flight; without one in flight the event is dropped (late bytes)."""
         if self.stage not in (Stage.IN_FLIGHT, Stage.STREAMING):
             return []
+        if isinstance(event, ports.StreamProgress):
+            self.silence_deadline = now + self.silence_limit
+            return []
         if isinstance(event, ports.AnswerPart):
             self.silence_deadline = now + self.silence_limit
             return [] if self.client_gone else [DeliverPart(event)]
--- a/stonetrack/node/request_runner.py
+++ b/stonetrack/node/request_runner.py
@@ -183,7 +183,7 @@
         if engine >= 0 and attempt is not None:
             mask = (0 if buffer_full else select.POLLIN) | (select.POLLOUT if attempt.has_unsent_data else 0)
             poller.register(engine, mask) if mask else None
-        input_was_unread = self.input_unread
+        input_was_unread, was_pending = self.input_unread, sink.pending > 0
         # The descriptors stay the same during a stream, so the poller is reused while nothing else changes.
         while True:
             now = self.core.clock()
@@ -207,6 +207,7 @@
                 or self.early_results
                 or self.input_unread is not input_was_unread
                 or sink.pending
+                or was_pending
                 or client < 0
                 or (attempt is not None and (attempt.has_unsent_data or attempt.fileno() != engine))
                 or lifecycle.stage is not Stage.STREAMING
@@ -289,12 +290,16 @@
     def _check_deadlines(self, now: int) -> None:
         if not self._client_blocked():
             self._apply(self.lifecycle.check_deadlines(now))
-        if (
-            self.sink.pending
-            and not self.lifecycle.client_gone
-            and now > self.last_progress_at + self.bounds.client_stall
-        ):
-            self._handle_disconnect(now)  # a stalled client counts as gone, and its connection is closed
+        if self._client_stalled(now):
+            # poll(2) reports room only once a good part of the send buffer is free, which takes a slow client long.
+            self._flush(now)
+            if self._client_stalled(now):
+                self._handle_disconnect(now)  # a stalled client counts as gone, and its connection is closed
+
+    def _client_stalled(self, now: int) -> bool:
+        """Whether the client has taken nothing for too long."""
+        waits = self.sink.pending and not self.lifecycle.client_gone
+        return bool(waits) and now > self.last_progress_at + self.bounds.client_stall
 
     # Side effects.
 
