A rejected client holds nothing of what it sent; only a node's own process is measured

Cause: a client that is rejected and may read its answer for 2 s kept the bytes behind its request, up to 30 KB that no share counts; and parked again it could be rejected a second time, since those bytes counted as an incomplete request. A node made inside another process (tests) took that process's memory for its own.

Change: the parser's input is freed at the rejection; run() measures the process and passes the figure on.

--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -70,12 +70,15 @@
 
 
 class EdgeNode:
-    """One node: its router, its connections to clients, engines and discovery, and its background threads."""
+    """One node: its router, its connections to clients, engines and discovery, and its background threads.
 
-    def __init__(self, config: Config, traced: bool = False) -> None:
+    ``process_bytes`` is the memory that the process takes before; it counts towards the configured limit.
+    """
+
+    def __init__(self, config: Config, traced: bool = False, process_bytes: int = 0) -> None:
         self.config, self._traced = config, traced
         self.clock = node_clock()
-        budget = divide_budget(config.limits.sockets, config.limits.memory_mb, resident_bytes())
+        budget = divide_budget(config.limits.sockets, config.limits.memory_mb, process_bytes)
         if budget.shortage_bytes:
             least = config.limits.memory_mb + budget.shortage_bytes / 1e6
             log(f"memory_mb: found {config.limits.memory_mb:g}; with less than {least:.0f} the limit may be exceeded")
@@ -316,7 +319,7 @@
         return 2
     path = Path(config_path)
     try:
-        node = EdgeNode(parse(path.read_bytes()), environ.get("EDGE_TRACE") == "1")
+        node = EdgeNode(parse(path.read_bytes()), environ.get("EDGE_TRACE") == "1", resident_bytes())
     except ConfigError as error:
         log(f"{path}: {error}")
         return 2
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -260,6 +260,11 @@
         """Keep received bytes for the next :meth:`feed`, unparsed."""
         self._buffer += data
 
+    def discard(self) -> None:
+        """Free what was received and not parsed; the parser accepts no more bytes."""
+        self._state = _State.FAILED
+        self._buffer, self._lines, self._consumed, self._searched = bytearray(), [], 0, 0
+
     def eof(self) -> list[Event]:
         """The peer has closed its side: ends a close-delimited body; returns no event between messages.
 
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -165,6 +165,28 @@
         assert again.answer()[0].status == 200
 
 
+def test_a_rejected_client_holds_none_of_what_it_sent_behind_its_request() -> None:
+    """Guards against memory that hundreds of rejected clients hold while they may read their answers."""
+    with bare_host(SMALL, body_bytes=MAX_BODY) as bare:
+        client = Client(bare.port)
+        client.send(b"GET / HTTP/1.1\r\nNo colon\r\n\r\n" + post("/behind", 3_000) + b"b" * 3_000)
+        assert client.answer()[0].status == 400
+        assert wait_for(lambda: any(each.linger_until for each in bare.host._parked.values()))
+        lingering = [each for each in bare.host._parked.values() if each.linger_until]
+        assert [each.held_bytes for each in lingering] == [0] and bare.host.bodies.partial_bytes == 0
+        assert not bare.paths
+        refused = Client(bare.port)
+        bare.wait.clear()
+        large = [open_client(bare, f"/large{n}", MAX_BODY, MAX_BODY) for n in range(2)]
+        assert wait_for(lambda: bare.host.bodies.served_bytes > 0)
+        refused.send(post("/refused", 100 * KIB) + b"a" * (100 * KIB) + post("/behind", 3_000) + b"b" * 2_000)
+        assert refused.answer()[0].status == 503
+        assert bare.host.bodies.partial_bytes == 0
+        bare.wait.set()
+        for each in (*large, client, refused):
+            each.close()
+
+
 def test_a_waiting_worker_keeps_no_request() -> None:
     """Guards against idle workers that hold the last body each of them served."""
     body = b"kept by no worker"
