Giving up an attempt waits for its engine again where part of its request is unsent

Two new tests were wrong beside load: one looked at memory while a second client's body was still read, one counted events in bytes that chunk framing had split.

Change: the wait is as before, within its one deadline. The first test waits for the same state; the second counts the events of the parsed body.

--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -190,7 +190,7 @@
         The sending side is shut down first.  A live engine then closes its side at once; waiting for that, up to
         ``cancel_timeout`` seconds for each read and ``_CANCEL_LIMIT`` times as long in all, keeps the order of two
         attempts at different engines whatever the network delays.  If the engine does not close, the connection is
-        reset, or passed to ``on_abandoned``.  An engine that has not got the whole request has not begun.
+        reset, or passed to ``on_abandoned``.
 
         Fulfils ``Obligation.ATTEMPT``.
         """
@@ -198,10 +198,9 @@
             return
         self._sock = None
         closed = False
-        if not self._unsent_bytes:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_WR)
-                closed = self._wait_for_close(sock)
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_WR)
+            closed = self._wait_for_close(sock)
         if closed or self._unsent_bytes or self._on_abandoned is None:
             sockets.reset(sock)
         else:
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -181,7 +181,7 @@
         assert wait_for(lambda: bare.host.bodies.served_bytes > 0)
         refused.send(post("/refused", 100 * KIB) + b"a" * (100 * KIB) + post("/behind", 3_000) + b"b" * 2_000)
         assert refused.answer()[0].status == 503
-        assert bare.host.bodies.partial_bytes == 0
+        assert wait_for(lambda: bare.host.bodies.partial_bytes == 0)  # the second large one may still be read
         bare.wait.set()
         for each in (*large, client, refused):
             each.close()
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -10,7 +10,7 @@
 
 from stonetrack.soak.engine_side import Arrival, End
 from stonetrack.soak.platform import Engine
-from stonetrack.wire import writer
+from stonetrack.wire import http1, writer
 from tests.harness import Client
 from tests.platform import CHAT, headers, node, platform
 
@@ -79,7 +79,9 @@
             received += data
             if time.monotonic() < slow_until:
                 time.sleep(0.1)
-        assert received.count(b"data: ") == events + 1
+        parsed = http1.MessageReader(http1.Side.RESPONSES, http1.Limits(body=1 << 30)).feed(bytes(received))
+        body = b"".join(each.data for each in parsed if isinstance(each, http1.Data))
+        assert body.count(b"data: ") == events + 1
 
 
 @pytest.mark.parametrize("role", ["prefill", "decode", "both"])
