--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -34,7 +34,7 @@
 
 
 def is_served(port: int) -> bool:
-    """Whether a usual client is served; in a crowd its connection may be closed unread, and it asks again (protocol)."""
+    """Whether a usual client is served; in a crowd its connection may be closed unread (protocol)."""
     usual = Client(port)
     try:
         return round_trip(usual, f"usual{time.monotonic_ns()}")[0].status == 200
