Log: when and where a stream that is given up stood still; a count by that part

Change: the end of an attempt whose stream this node gives up says how long after the last part it came and in which part of the message (chunk size, chunk, trailer); /metrics counts these streams by that part (stonetrack_edge_streams_given_up).

--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -96,6 +96,11 @@
         """Whether the answer's last byte has arrived and nothing after it."""
         return self._reader.idle
 
+    @property
+    def stream_position(self) -> str:
+        """The part of the message that a stream is in, for logs; empty before its first event."""
+        return self._reader.state if self.started else ""
+
     def feed(self, data: bytes) -> list[AttemptEvent]:
         """Parse received bytes into the events of the attempt."""
         self.received = True
--- a/stonetrack/edge/metrics.py
+++ b/stonetrack/edge/metrics.py
@@ -39,6 +39,8 @@
         yield self._counter("attempt_refusals", "Attempts that the guard kept from beginning", "why", records.refusals)
         yield self._counter("attempts", "Attempts by how they ended", "outcome", records.outcomes)
         yield self._counter("answers", "Final answers by kind", "kind", records.answers)
+        given_up = records.streams_given_up
+        yield self._counter("streams_given_up", "Streams given up, by the part that they were in", "part", given_up)
         yield self._counter("steps", "Steps of requests by kind", "step", records.steps)
         yield self._counter("events", "Events told to the router", "event", self._node.core.events)
         yield self._counter("actions", "Actions that the router decided", "action", self._node.core.actions)
--- a/stonetrack/engines/attempt.py
+++ b/stonetrack/engines/attempt.py
@@ -36,6 +36,10 @@
     def fully_read(self) -> bool:
         """Whether the answer has been received to its last byte, which may follow after the outcome."""
 
+    @property
+    def stream_position(self) -> str:
+        """The part of the message that a stream is in, for logs; empty before its first event."""
+
     def feed(self, data: bytes) -> list[AttemptEvent]:
         """Parse received bytes; return the events that they complete."""
 
@@ -88,6 +92,11 @@
         """Whether part of the request has not been written yet."""
         return len(self._unsent_bytes) > 0
 
+    @property
+    def stream_position(self) -> str:
+        """The part of the message that a stream is in, for logs; empty before its first event."""
+        return self._exchange.stream_position
+
     def push(self) -> list[AttemptEvent]:
         """Write as much as the socket accepts without blocking."""
         sock = self._sock
--- a/stonetrack/engines/protocol.py
+++ b/stonetrack/engines/protocol.py
@@ -159,6 +159,11 @@
             self._set_outcome(Outcome.RESET, events, why=reason)
         return events
 
+    @property
+    def stream_position(self) -> str:
+        """The part of the message that a stream is in, for logs; empty before its first event."""
+        return self._reader.state if self.started else ""
+
     @property
     def fully_read(self) -> bool:
         """Whether the answer has been received to its last byte, which may follow after the outcome."""
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -191,6 +191,10 @@
     def has_unsent_data(self) -> bool:
         """Whether part of the request is still to be written."""
 
+    @property
+    def stream_position(self) -> str:
+        """The part of the message that a stream is in, for logs; empty before its first event."""
+
     def process_io(self) -> list[AttemptEvent]:
         """Read and write what the socket allows without blocking; the events that follow."""
 
--- a/stonetrack/node/records.py
+++ b/stonetrack/node/records.py
@@ -74,6 +74,7 @@
         self.outcomes: Counter[Outcome] = Counter()
         self.answers: Counter[str] = Counter()
         self.steps: Counter[Step] = Counter()
+        self.streams_given_up: Counter[str] = Counter()  # by the part of the message that they were in
         self.lines_dropped = 0
 
     def __len__(self) -> int:
@@ -145,6 +146,11 @@
         if finished:
             self._log_record(record)
 
+    def note_stream_given_up(self, position: str) -> None:
+        """Count a stream that this node gave up before its end, by the part of the message that it was in."""
+        with self._lock:
+            self.streams_given_up[position] += 1
+
     def may_begin(
         self, request: str, client_left: bool, engine_closed: bool, input_unread: bool = False
     ) -> Refusal | None:
--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -130,6 +130,7 @@
     """State machine of one request.  Its methods return side effects to be carried out in order."""
 
     __slots__ = (
+        "last_part_at",
         "last_why",
         "may_have_run",
         "request",
@@ -161,6 +162,7 @@
         self.attempt_deadline = 0  # of the attempt in flight; 0 for none
         self.silence_limit = silence  # longest pause within a stream, nanoseconds
         self.silence_deadline = 0  # when a silent stream times out
+        self.last_part_at = 0  # when the last part of the answer arrived
         self.prefill_server = ""
         self.state: Any = None
         self.reserved_server = ""
@@ -266,10 +268,12 @@
             self.silence_deadline = now + self.silence_limit
             return []
         if isinstance(event, ports.AnswerPart):
+            self.last_part_at = now
             self.silence_deadline = now + self.silence_limit
             return [] if self.client_gone else [DeliverPart(event)]
         if isinstance(event, ports.AnswerStarted):
             self.stage, self.silence_deadline = Stage.STREAMING, now + self.silence_limit
+            self.last_part_at = now
             self.prefill_server, self.state, self.reserved_server = "", None, ""
             elapsed = now - self.sent_at
             notify = NotifyRouter(api.FirstToken(self.request.request_id, self.attempt_number, self.server, elapsed))
@@ -335,6 +339,7 @@
         """
         if self.stage is not Stage.STREAMING or self.client_gone:
             return False
+        self.last_part_at = now
         self.silence_deadline = now + self.silence_limit
         return True
 
--- a/stonetrack/node/request_runner.py
+++ b/stonetrack/node/request_runner.py
@@ -49,6 +49,7 @@
 
 _DISCONNECTED = select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
 MS = 1_000_000
+SECOND = 1_000 * MS
 MAILBOX_POLL = 40 * MS  # interval at which a thread without a waker checks its mailbox
 
 
@@ -113,6 +114,7 @@
         self.early_results: deque[AttemptResult] = deque()  # of attempts that ended while they were started
         self.actions: deque[Action] = deque()
         self.last_progress_at = 0  # when the client last took a byte
+        self.aborted_position = ""  # the part of the message that an aborted stream was in
         self.input_unread = False  # more has come behind the request than is read: the client's end can't be seen
 
     def run(self) -> RequestLifecycle:
@@ -318,6 +320,7 @@
                 case AbortAttempt():
                     if self.attempt is not None:
                         attempt, self.attempt = self.attempt, None
+                        self._note_aborted(attempt)
                         attempt.abort()
                 case FinishAnswer(final):
                     self._finish_answer(final)
@@ -402,7 +405,7 @@
                 event.server,
                 event.attempt,
                 event.outcome,
-                "" if event.outcome in (Outcome.READ, Outcome.SERVED) else self.lifecycle.last_why,
+                "" if event.outcome in (Outcome.READ, Outcome.SERVED) else self._reason_of_end(),
                 state_missing=event.state_missing,
             )
         elif isinstance(event, FirstToken):
@@ -410,6 +413,18 @@
         elif isinstance(event, RequestGone) and self.lifecycle.client_gone:
             self._note(Step.CLIENT_GONE)
 
+    def _note_aborted(self, attempt: Attempt) -> None:
+        self.aborted_position = attempt.stream_position
+        if self.records is not None and self.aborted_position:
+            self.records.note_stream_given_up(self.aborted_position)
+
+    def _reason_of_end(self) -> str:
+        """Why the last attempt ended; for a stream that this node gave up, also when and where it stood still."""
+        if not self.aborted_position:
+            return self.lifecycle.last_why
+        seconds = (self.core.clock() - self.lifecycle.last_part_at) / SECOND
+        return f"{self.lifecycle.last_why}; {seconds:.3f} s after the last part, in its {self.aborted_position}"
+
     def _note(self, step: Step, why: str = "") -> None:
         if self.records is not None:
             self.records.note(self.lifecycle.request.request_id, step, why=why)
--- /dev/null
+++ b/tests/test_unfinished_streams.py
@@ -0,0 +1,106 @@
+"""Streams whose engine goes on writing bytes that complete no event: their clients' connections end in time."""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import pytest
+
+from stonetrack.soak.engine_side import Arrival
+from stonetrack.soak.platform import Engine
+from stonetrack.wire import writer
+from tests.harness import Client, wait_for
+from tests.platform import CHAT, Platform, headers, node, platform
+
+WAIT_S = 5.0  # for which a client may be left waiting after a running engine's last event (protocol page, Figures)
+EVENT_PAUSE_S = 0.06  # an engine's usual pace
+HEAD = writer.chunked_head(200, [("Content-Type", "text/event-stream")])
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def event(text: str) -> bytes:
+    return b"data: " + json.dumps({"choices": [{"index": 0, "delta": {"content": text}}]}).encode() + b"\n\n"
+
+
+def pieces(start: bytes, each: bytes, pause_s: float) -> Iterator[tuple[bytes, float]]:
+    """``start``, then ``each`` for ever, with ``pause_s`` seconds before each piece."""
+    yield start, pause_s
+    while True:
+        yield each, pause_s
+
+
+def single_bytes(data: bytes, pause_s: float) -> Iterator[tuple[bytes, float]]:
+    for n in range(len(data)):
+        yield data[n : n + 1], pause_s
+
+
+def then(first: Iterator[tuple[bytes, float]], second: Iterator[tuple[bytes, float]]) -> Iterator[tuple[bytes, float]]:
+    yield from first
+    yield from second
+
+
+@dataclass
+class UnfinishedStreams:
+    """Engines that stream two events and go on with the pieces of their request's form until they are cut."""
+
+    forms: dict[str, Iterator[tuple[bytes, float]]]
+    last_events: dict[str, float] = field(default_factory=dict)  # monotonic seconds, by form
+
+    def stream(self, engine: Engine, sock: socket.socket, arrival: Arrival, scripted: str) -> None:
+        sock.sendall(HEAD + writer.chunk(event("first")))
+        time.sleep(EVENT_PAUSE_S)
+        sock.sendall(writer.chunk(event("second")))
+        self.last_events[arrival.request] = time.monotonic()
+        for piece, pause_s in self.forms[arrival.request]:
+            time.sleep(pause_s)
+            sock.sendall(piece)  # raises OSError once the node has ended the attempt
+
+
+def waits(world: Platform, streams: UnfinishedStreams) -> dict[str, float]:
+    """Seconds from the last event to the end of the client's connection, by form; all forms at the same time."""
+    found: dict[str, float] = {}
+
+    def ask(form: str) -> None:
+        client = Client(world.listen, 4 * WAIT_S)
+        received = bytearray()
+        client.send_request(b"{}", CHAT, headers=headers(form))
+        try:
+            while data := client.sock.recv(65_536):
+                received += data
+        except TimeoutError:
+            pass
+        found[form] = time.monotonic() - streams.last_events[form]
+        assert b"second" in received and not received.endswith(LAST_CHUNK)
+
+    threads = [threading.Thread(target=ask, args=(form,)) for form in streams.forms]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert found.keys() == streams.forms.keys(), "a stream ended with its last chunk, or never began"
+    return found
+
+
+# The log of an incident could not tell what a stream's engine had sent last, nor when (issue 67).
+def test_the_log_tells_when_and_where_a_stream_that_was_given_up_stood_still(
+    capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    streams = UnfinishedStreams({"stuck": pieces(b"4", b"f", 0.3)})
+    monkeypatch.setattr(Engine, "_stream", lambda *arguments: streams.stream(*arguments))
+    with platform(1, 1) as world, node(world) as edge_node:
+        client = Client(world.listen)
+        client.send_request(b"{}", CHAT, headers=headers("stuck"))
+        assert wait_for(lambda: "stuck" in streams.last_events)
+        time.sleep(1.0)
+        client.close()
+        assert wait_for(lambda: edge_node.records.streams_given_up == {"chunk size": 1})
+        assert wait_for(lambda: len(edge_node.records) == 0)
+    log_text = capfd.readouterr().err
+    assert re.search(r"attempt ended #1 w0 cancelled \(the client left; [01]\.\d+ s after the last part, in its chunk "
+                     r"size\)", log_text), log_text  # fmt: skip
