--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 
 import pytest
 
@@ -16,7 +17,7 @@
 from stonetrack.soak.platform import Engine
 from stonetrack.wire import writer
 from tests.harness import Client, wait_for
-from tests.platform import CHAT, Platform, headers, node, platform
+from tests.platform import CHAT, Platform, headers, node, platform, program
 
 WAIT_S = 5.0  # for which a client may be left waiting after a running engine's last event (protocol page, Figures)
 EVENT_PAUSE_S = 0.06  # an engine's usual pace
@@ -87,6 +88,29 @@
     return found
 
 
+# A client was left waiting on a stream behind a chunk's size that did not end, or that said gigabytes (issue 67).
+def test_a_client_is_not_left_waiting_behind_a_chunk_size_that_never_ends_or_says_gigabytes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    usual = writer.chunk(event("sound"))
+    streams = UnfinishedStreams({
+        "digits": pieces(b"0", b"0", EVENT_PAUSE_S),
+        "digits-slowly": pieces(b"1", b"1", 0.6),
+        "pairs-of-digits": pieces(b"00", b"00", 0.25),
+        "extension": pieces(b"4f;", b"a", EVENT_PAUSE_S),
+        "extension-slowly": pieces(b"4f;", b"a", 1.0),
+        "gigabytes": pieces(b"c0000000\r\n", event("sound"), EVENT_PAUSE_S),
+        "gigabytes-in-chunks": pieces(b"c0000000\r\n", usual, EVENT_PAUSE_S),
+        "gigabytes-bytewise": then(single_bytes(b"c0000000", 0.3), pieces(b"\r\n", event("sound"), EVENT_PAUSE_S)),
+        "gigabytes-zeros": then(single_bytes(b"00000000c0000000", 0.2), pieces(b"\r\n", usual, EVENT_PAUSE_S)),
+        "gigabytes-no-line-end": pieces(b"c0000000", b"data: sound", EVENT_PAUSE_S),
+    })  # fmt: skip
+    monkeypatch.setattr(Engine, "_stream", lambda *arguments: streams.stream(*arguments))
+    with platform(2, 2) as world, program(world, tmp_path):
+        too_long = {form: round(seconds, 2) for form, seconds in waits(world, streams).items() if seconds > WAIT_S}
+    assert not too_long
+
+
 # The log of an incident could not tell what a stream's engine had sent last, nor when (issue 67).
 def test_the_log_tells_when_and_where_a_stream_that_was_given_up_stood_still(
     capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
