Reproduction, failing: a client is left waiting behind bytes that complete no event

Seen: nine forms on a node process over loopback: an event in one-byte chunks, in a large chunk, empty lines, comments, fields without data, trailers; each keeps the client waiting 6.03 s to over 12 s (the test's own bound) after the last event, where 5 s are allowed. Events written byte by byte at 0.04 and 0.08 s pass and have to go on passing.

--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
 import socket
@@ -20,6 +21,7 @@
 from tests.platform import CHAT, Platform, headers, node, platform, program
 
 WAIT_S = 5.0  # for which a client may be left waiting after a running engine's last event (protocol page, Figures)
+GIVE_UP_S = 12.0  # after which a test's client leaves
 EVENT_PAUSE_S = 0.06  # an engine's usual pace
 HEAD = writer.chunked_head(200, [("Content-Type", "text/event-stream")])
 LAST_CHUNK = b"0\r\n\r\n"
@@ -68,15 +70,14 @@
     found: dict[str, float] = {}
 
     def ask(form: str) -> None:
-        client = Client(world.listen, 4 * WAIT_S)
-        received = bytearray()
+        client = Client(world.listen, GIVE_UP_S)
+        received, until = bytearray(), time.monotonic() + GIVE_UP_S
         client.send_request(b"{}", CHAT, headers=headers(form))
-        try:
-            while data := client.sock.recv(65_536):
+        with contextlib.suppress(TimeoutError):
+            while time.monotonic() < until and (data := client.sock.recv(65_536)):
                 received += data
-        except TimeoutError:
-            pass
         found[form] = time.monotonic() - streams.last_events[form]
+        client.close()
         assert b"second" in received and not received.endswith(LAST_CHUNK)
 
     threads = [threading.Thread(target=ask, args=(form,)) for form in streams.forms]
@@ -111,6 +112,48 @@
     assert not too_long
 
 
+# A client was left waiting behind chunks of a sound size that completed no event: kin of issue 67.
+def test_a_client_is_not_left_waiting_behind_bytes_that_complete_no_event(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    streams = UnfinishedStreams({
+        "event-in-small-chunks": pieces(b"", writer.chunk(b"x"), EVENT_PAUSE_S),
+        "event-in-parts-of-chunks": pieces(b"1\r\n", b"x\r\n1\r\n", EVENT_PAUSE_S),
+        "event-in-a-large-chunk": pieces(b"4000\r\n", b"x", EVENT_PAUSE_S),
+        "lines-of-one-event": pieces(b"", writer.chunk(b"data: x\n"), 0.3),
+        "empty-lines": pieces(b"", writer.chunk(b"\n"), EVENT_PAUSE_S),
+        "comments": pieces(b"", writer.chunk(b": alive\n\n"), 0.5),
+        "fields-without-data": pieces(b"", writer.chunk(b"id: 1\r\n\r\n"), 0.5),
+        "trailer-lines": pieces(b"0\r\n", b"X-A: b\r\n", 0.4),
+        "trailer-line": pieces(b"0\r\nX-A: ", b"b", EVENT_PAUSE_S),
+    })  # fmt: skip
+    monkeypatch.setattr(Engine, "_stream", lambda *arguments: streams.stream(*arguments))
+    with platform(2, 2) as world, program(world, tmp_path):
+        too_long = {form: round(seconds, 2) for form, seconds in waits(world, streams).items() if seconds > WAIT_S}
+    assert not too_long
+
+
+# A stream whose engine writes whole events slowly, a byte at a time, was cut off (issue 67, picture a).
+@pytest.mark.parametrize("pause_s", [0.04, 0.08])
+def test_a_stream_whose_events_are_written_byte_by_byte_is_served_whole(
+    pause_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    slow = writer.chunk(event("slowly")) + writer.chunk(b"data: [DONE]\n\n") + LAST_CHUNK
+
+    def write_slowly(engine: Engine, sock: socket.socket, arrival: Arrival, scripted: str) -> None:
+        sock.sendall(HEAD + writer.chunk(event("first")))
+        for piece, pause in single_bytes(slow, pause_s):
+            time.sleep(pause)
+            sock.sendall(piece)
+
+    monkeypatch.setattr(Engine, "_stream", write_slowly)
+    with platform(1, 1) as world, node(world):
+        client = Client(world.listen, 30.0)
+        client.send_request(b"{}", CHAT, headers=headers("slow"))
+        head, body = client.answer()
+    assert head.status == 200 and body == event("first") + event("slowly") + b"data: [DONE]\n\n"
+
+
 # The log of an incident could not tell what a stream's engine had sent last, nor when (issue 67).
 def test_the_log_tells_when_and_where_a_stream_that_was_given_up_stood_still(
     capfd: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
