A stream behind a chunk size that never ends is cut in time; byte by byte it is served

Cause: Exchange._note_progress let up to 32 bytes of a chunk's framing, however few at a time, each move the silence deadline by 4.5 s. Why this works: node/stream_deadline.py counts from the last event. Bytes that complete none extend the deadline only within a chunk whose announced size arrives, at the pace of its bytes, within twice the limit; a size line, a trailer or a size that is not being filled extends nothing.

--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -45,7 +45,6 @@
 _MAX_BODY_BYTES = 32_768  # kept of an answer that is not a stream
 _TAIL_BYTES = 2_048  # last bytes of a stream, examined at its end
 _MAX_FIRST_EVENT_BYTES = 32_768
-_MAX_FRAMING_BYTES = 32  # between two pieces of a stream, that count as progress
 
 ParseLoadReport = Callable[[str], LoadReport | None]
 
@@ -67,7 +66,7 @@
 class Exchange:
     """Parses one answer by the table above; feed it bytes until it returns an ``AttemptResult``."""
 
-    __slots__ = ("_awaits_first", "_body", "_ended", "_framing_bytes", "_head", "_informational", "_on_unanswered",
+    __slots__ = ("_awaits_first", "_body", "_ended", "_head", "_informational", "_on_unanswered",
                  "_parse_report", "_reader", "_role", "_tail", "received", "reusable", "started")  # fmt: skip
 
     def __init__(
@@ -86,7 +85,6 @@
         self._tail = bytearray()
         self._ended = False
         self._informational = 0
-        self._framing_bytes = 0
         self.started = False
         self.reusable = False
         self.received = False
@@ -109,7 +107,6 @@
             self.reusable = False  # unsolicited bytes after the answer
             return events
         try:
-            received = len(data)
             while not self._ended:
                 parsed = self._reader.feed(data, messages=1)
                 for event in parsed:
@@ -117,7 +114,8 @@
                 if not parsed or not isinstance(parsed[-1], http1.End):
                     break
                 data = b""
-            self._note_progress(received, events)
+            if self.started and not events:
+                events.append(StreamProgress(self._reader.announced_bytes, self._reader.remaining_bytes))
         except ProtocolError as error:
             self.reusable = False
             self._end(Outcome.RESET, events, why=f"the engine's answer can't be read: {error}")
@@ -172,15 +170,6 @@
         elif isinstance(event, http1.End) and self._head is not None:
             self._message_complete(self._head, events)
 
-    def _note_progress(self, received: int, events: list[AttemptEvent]) -> None:
-        """Within a stream, bytes of a chunk's framing show that the engine goes on writing, up to a bound."""
-        if events or not self.started:
-            self._framing_bytes = 0
-            return
-        self._framing_bytes += received
-        if self._framing_bytes <= _MAX_FRAMING_BYTES:
-            events.append(StreamProgress())
-
     def _append_tail(self, data: bytes) -> None:
         self._tail += data
         if len(self._tail) > 2 * _TAIL_BYTES:
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -48,7 +48,8 @@
     cached: int = 0
 
 
-# Events of an attempt, in order: AnswerStarted, any number of AnswerPart, AttemptResult; or AttemptResult alone.
+# Events of an attempt, in order: AnswerStarted, any number of AnswerPart and StreamProgress, AttemptResult; or
+# AttemptResult alone.
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,10 +79,16 @@
     data: bytes
 
 
+@dataclass(frozen=True, slots=True)
 class StreamProgress:
-    """Bytes of a stream arrived that complete no part of the answer: its engine goes on writing."""
+    """Bytes of a stream arrived that complete no event.
 
-    __slots__ = ()
+    ``remaining`` is what is still to come of the chunk that is being received, in bytes, 0 between chunks;
+    ``announced`` is the size of all chunks so far, which tells one chunk from the next.
+    """
+
+    announced: int
+    remaining: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -39,6 +39,7 @@
 
 from stonetrack import api
 from stonetrack.node import ports
+from stonetrack.node.stream_deadline import StreamDeadline
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +131,6 @@
     """State machine of one request.  Its methods return side effects to be carried out in order."""
 
     __slots__ = (
-        "last_part_at",
         "last_why",
         "may_have_run",
         "request",
@@ -142,8 +142,7 @@
         "prefill_server",
         "sent_at",
         "server",
-        "silence_limit",
-        "silence_deadline",
+        "stream_deadline",
         "answer_deadline",
         "stage",
         "state",
@@ -160,9 +159,7 @@
         self.server = ""  # of the attempt in flight
         self.sent_at = 0
         self.attempt_deadline = 0  # of the attempt in flight; 0 for none
-        self.silence_limit = silence  # longest pause within a stream, nanoseconds
-        self.silence_deadline = 0  # when a silent stream times out
-        self.last_part_at = 0  # when the last part of the answer arrived
+        self.stream_deadline = StreamDeadline(silence)
         self.prefill_server = ""
         self.state: Any = None
         self.reserved_server = ""
@@ -178,7 +175,8 @@
     def next_deadline(self) -> int:
         """When :meth:`check_deadlines` must be called next, in nanoseconds; 0 for never."""
         if self.stage is Stage.STREAMING:
-            return min(self.silence_deadline, self.answer_deadline) if self.answer_deadline else self.silence_deadline
+            stream_deadline = self.stream_deadline.at
+            return min(stream_deadline, self.answer_deadline) if self.answer_deadline else stream_deadline
         return self.attempt_deadline if self.stage is Stage.IN_FLIGHT else 0
 
     # Actions of the router.
@@ -265,15 +263,14 @@
         if self.stage not in (Stage.IN_FLIGHT, Stage.STREAMING):
             return []
         if isinstance(event, ports.StreamProgress):
-            self.silence_deadline = now + self.silence_limit
+            self.stream_deadline.bytes_received(event, now)
             return []
         if isinstance(event, ports.AnswerPart):
-            self.last_part_at = now
-            self.silence_deadline = now + self.silence_limit
+            self.stream_deadline.event_completed(now)
             return [] if self.client_gone else [DeliverPart(event)]
         if isinstance(event, ports.AnswerStarted):
-            self.stage, self.silence_deadline = Stage.STREAMING, now + self.silence_limit
-            self.last_part_at = now
+            self.stage = Stage.STREAMING
+            self.stream_deadline.event_completed(now)
             self.prefill_server, self.state, self.reserved_server = "", None, ""
             elapsed = now - self.sent_at
             notify = NotifyRouter(api.FirstToken(self.request.request_id, self.attempt_number, self.server, elapsed))
@@ -339,18 +336,17 @@
         """
         if self.stage is not Stage.STREAMING or self.client_gone:
             return False
-        self.last_part_at = now
-        self.silence_deadline = now + self.silence_limit
+        self.stream_deadline.event_completed(now)
         return True
 
     def check_deadlines(self, now: int) -> list[SideEffect]:
-        """End an attempt that has timed out, or a stream that has been silent for too long.
+        """End an attempt that has timed out, or a stream that has completed no event for too long.
 
         Owed: ``Obligation.ANSWER``, ``Obligation.ATTEMPT``."""
         if not self.next_deadline() or now < self.next_deadline():
             return []
-        silent = self.stage is Stage.STREAMING and now >= self.silence_deadline
-        why = "the engine fell silent within its answer" if silent else "out of time"
+        stuck = self.stage is Stage.STREAMING and now >= self.stream_deadline.at
+        why = "the engine completed no further event in time" if stuck else "out of time"
         return [AbortAttempt(), *self.handle_attempt_event(ports.AttemptResult(api.Outcome.TIMED_OUT, why), now)]
 
     def handle_client_gone(self, now: int) -> list[SideEffect]:
--- a/stonetrack/node/request_runner.py
+++ b/stonetrack/node/request_runner.py
@@ -283,9 +283,7 @@
             if self.sink.flush() < pending_before:
                 self.last_progress_at = now
                 if self.lifecycle.stage is Stage.STREAMING:
-                    self.lifecycle.silence_deadline = max(
-                        self.lifecycle.silence_deadline, now + self.bounds.stream_silence
-                    )
+                    self.lifecycle.stream_deadline.restart(now)
         except ClientDisconnected:
             self._handle_disconnect(now)
 
@@ -422,8 +420,8 @@
         """Why the last attempt ended; for a stream that this node gave up, also when and where it stood still."""
         if not self.aborted_position:
             return self.lifecycle.last_why
-        seconds = (self.core.clock() - self.lifecycle.last_part_at) / SECOND
-        return f"{self.lifecycle.last_why}; {seconds:.3f} s after the last part, in its {self.aborted_position}"
+        seconds = (self.core.clock() - self.lifecycle.stream_deadline.last_event_at) / SECOND
+        return f"{self.lifecycle.last_why}; {seconds:.3f} s after its last event, in its {self.aborted_position}"
 
     def _note(self, step: Step, why: str = "") -> None:
         if self.records is not None:
--- a/stonetrack/wire/http1.py
+++ b/stonetrack/wire/http1.py
@@ -226,6 +226,16 @@
         lines = self._size + _LINE_BYTES * len(self._lines) if self._lines else 0
         return len(self._buffer) + lines
 
+    @property
+    def announced_bytes(self) -> int:
+        """Size in bytes of all chunks of the current body whose size was read; 0 for a body that is not chunked."""
+        return 0 if self._state is _State.HEAD else self._size
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Number of bytes still to come of the current chunk, or of a body of announced length; 0 outside of both."""
+        return self._remaining if self._state in (_State.CHUNK_DATA, _State.COUNTED_BODY) else 0
+
     @property
     def state(self) -> str:
         """The part of the message that is expected next, for errors and logs."""
--- a/tests/test_unfinished_streams.py
+++ b/tests/test_unfinished_streams.py
@@ -169,5 +169,5 @@
         assert wait_for(lambda: edge_node.records.streams_given_up == {"chunk size": 1})
         assert wait_for(lambda: len(edge_node.records) == 0)
     log_text = capfd.readouterr().err
-    assert re.search(r"attempt ended #1 w0 cancelled \(the client left; [01]\.\d+ s after the last part, in its chunk "
+    assert re.search(r"attempt ended #1 w0 cancelled \(the client left; [01]\.\d+ s after its last event, in its chunk "
                      r"size\)", log_text), log_text  # fmt: skip
