--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -346,7 +346,7 @@
         if not self.next_deadline() or now < self.next_deadline():
             return []
         stuck = self.stage is Stage.STREAMING and now >= self.stream_deadline.at
-        why = "the engine completed no further event in time" if stuck else "out of time"
+        why = "the engine fell silent within its answer" if stuck else "out of time"
         return [AbortAttempt(), *self.handle_attempt_event(ports.AttemptResult(api.Outcome.TIMED_OUT, why), now)]
 
     def handle_client_gone(self, now: int) -> list[SideEffect]:
