Only a complete event is progress of a stream; bytes are so for a bounded time

What callers saw: behind chunks of a sound size that complete no event, comments, empty lines or trailers a client waited 6 s to over 12 s. Cause: each part of a stream moved its deadline, whatever was in it (RequestLifecycle.accept_part), and so did each write that its client took (RequestRunner._flush), also where the engine had been read all the time. Change: sse.EventEnds tells which pieces complete an event (an empty line behind a data line); only those restart the deadline. A client's progress restarts it only where the engine was not read before. A chunk that is first seen after the deadline, or that ends without an event, extends nothing.

--- a/stonetrack/edge/exchange.py
+++ b/stonetrack/edge/exchange.py
@@ -32,7 +32,7 @@
 
 from stonetrack.api import LoadReport, Outcome, Role
 from stonetrack.node.ports import AnswerStarted, AttemptEvent, AttemptResult, RawEvents, StreamProgress
-from stonetrack.wire import http1, json_limits
+from stonetrack.wire import http1, json_limits, sse
 from stonetrack.wire.errors import ProtocolError
 
 LOAD_HEADER, UNPROCESSED_HEADER = "x-backend-load", "x-unprocessed"
@@ -66,7 +66,7 @@
 class Exchange:
     """Parses one answer by the table above; feed it bytes until it returns an ``AttemptResult``."""
 
-    __slots__ = ("_awaits_first", "_body", "_ended", "_head", "_informational", "_on_unanswered",
+    __slots__ = ("_awaits_first", "_body", "_ended", "_event_ends", "_head", "_informational", "_on_unanswered",
                  "_parse_report", "_reader", "_role", "_tail", "received", "reusable", "started")  # fmt: skip
 
     def __init__(
@@ -83,6 +83,7 @@
         self._body = bytearray()  # of an answer that is not a stream, or a stream up to its first event
         self._awaits_first = False  # a stream whose first event is not complete
         self._tail = bytearray()
+        self._event_ends = sse.EventEnds()
         self._ended = False
         self._informational = 0
         self.started = False
@@ -114,8 +115,7 @@
                 if not parsed or not isinstance(parsed[-1], http1.End):
                     break
                 data = b""
-            if self.started and not events:
-                events.append(StreamProgress(self._reader.announced_bytes, self._reader.remaining_bytes))
+            self._note_unfinished(events)
         except ProtocolError as error:
             self.reusable = False
             self._end(Outcome.RESET, events, why=f"the engine's answer can't be read: {error}")
@@ -162,7 +162,7 @@
         elif isinstance(event, http1.Data):
             if self.started:
                 self._append_tail(event.data)
-                events.append(RawEvents(event.data))
+                events.append(RawEvents(event.data, self._event_ends.feed(event.data)))
             elif self._awaits_first:
                 self._buffer_first_event(event.data, events)
             elif len(self._body) < _MAX_BODY_BYTES:
@@ -170,6 +170,11 @@
         elif isinstance(event, http1.End) and self._head is not None:
             self._message_complete(self._head, events)
 
+    def _note_unfinished(self, events: list[AttemptEvent]) -> None:
+        """Add where the stream stands, if what was received completes no event of it."""
+        if self.started and not self._ended and not any(isinstance(e, RawEvents) and e.ends_event for e in events):
+            events.append(StreamProgress(self._reader.announced_bytes, self._reader.remaining_bytes))
+
     def _append_tail(self, data: bytes) -> None:
         self._tail += data
         if len(self._tail) > 2 * _TAIL_BYTES:
@@ -187,6 +192,7 @@
         self._body.clear()
         self.started = True
         self._append_tail(opening)
+        self._event_ends.feed(opening)
         events += [AnswerStarted(), RawEvents(opening)]
 
     def _message_complete(self, head: http1.ResponseHead, events: list[AttemptEvent]) -> None:
--- a/stonetrack/node/ports.py
+++ b/stonetrack/node/ports.py
@@ -58,9 +58,13 @@
 
 
 class AnswerPart:
-    """A part of the answer, in a form that the engine client and the frontend agree on; opaque to the node."""
+    """A part of the answer, in a form that the engine client and the frontend agree on; opaque to the node.
+
+    ``ends_event`` tells whether an event of the engine's stream is complete with it.
+    """
 
     __slots__ = ()
+    ends_event: bool
 
 
 @dataclass(slots=True)
@@ -70,13 +74,15 @@
     choices: list[dict[str, Any]]
     usage: dict[str, Any] | None = None
     extra: dict[str, Any] = field(default_factory=dict)
+    ends_event: bool = True
 
 
 @dataclass(slots=True)
 class RawEvents(AnswerPart):
-    """Complete events of a stream, passed on unchanged as bytes."""
+    """Bytes of a stream's events, passed on unchanged."""
 
     data: bytes
+    ends_event: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/stonetrack/node/request_lifecycle.py
+++ b/stonetrack/node/request_lifecycle.py
@@ -266,7 +266,8 @@
             self.stream_deadline.bytes_received(event, now)
             return []
         if isinstance(event, ports.AnswerPart):
-            self.stream_deadline.event_completed(now)
+            if event.ends_event:
+                self.stream_deadline.event_completed(now)
             return [] if self.client_gone else [DeliverPart(event)]
         if isinstance(event, ports.AnswerStarted):
             self.stage = Stage.STREAMING
@@ -329,14 +330,15 @@
         self.server, self.attempt_deadline = "", 0
         return effects
 
-    def accept_part(self, now: int) -> bool:
-        """Whether a part received now goes straight to the client; notes that the stream is alive.
+    def accept_part(self, part: ports.AnswerPart, now: int) -> bool:
+        """Whether a part received now goes straight to the client; notes a complete event.
 
         The usual case of :meth:`handle_attempt_event` without a list of side effects, since it runs for every token.
         """
         if self.stage is not Stage.STREAMING or self.client_gone:
             return False
-        self.stream_deadline.event_completed(now)
+        if part.ends_event:
+            self.stream_deadline.event_completed(now)
         return True
 
     def check_deadlines(self, now: int) -> list[SideEffect]:
--- a/stonetrack/node/request_runner.py
+++ b/stonetrack/node/request_runner.py
@@ -114,6 +114,7 @@
         self.early_results: deque[AttemptResult] = deque()  # of attempts that ended while they were started
         self.actions: deque[Action] = deque()
         self.last_progress_at = 0  # when the client last took a byte
+        self.engine_paused = False  # the engine is not read, since its client has not taken what came before
         self.aborted_position = ""  # the part of the message that an aborted stream was in
         self.input_unread = False  # more has come behind the request than is read: the client's end can't be seen
 
@@ -181,6 +182,7 @@
             mask = select.POLLRDHUP | (0 if self.input_unread else select.POLLIN)
             poller.register(client, mask | (select.POLLOUT if sink.pending else 0))
         engine = attempt.fileno() if attempt is not None else -1
+        self.engine_paused = self.engine_paused or self._client_blocked()
         buffer_full = not lifecycle.client_gone and sink.pending > self.bounds.send_buffer
         if engine >= 0 and attempt is not None:
             mask = (0 if buffer_full else select.POLLIN) | (select.POLLOUT if attempt.has_unsent_data else 0)
@@ -270,7 +272,7 @@
             self._flush(now)
 
     def _handle_attempt_event(self, event: AttemptEvent, now: int) -> None:
-        if isinstance(event, AnswerPart) and self.lifecycle.accept_part(now):
+        if isinstance(event, AnswerPart) and self.lifecycle.accept_part(event, now):
             self._deliver(event)
             return
         if isinstance(event, AttemptResult):
@@ -282,7 +284,8 @@
             pending_before = self.sink.pending
             if self.sink.flush() < pending_before:
                 self.last_progress_at = now
-                if self.lifecycle.stage is Stage.STREAMING:
+                if self.engine_paused and not self._client_blocked():
+                    self.engine_paused = False
                     self.lifecycle.stream_deadline.restart(now)
         except ClientDisconnected:
             self._handle_disconnect(now)
--- a/stonetrack/node/stream_deadline.py
+++ b/stonetrack/node/stream_deadline.py
@@ -39,12 +39,13 @@
 
     def bytes_received(self, progress: StreamProgress, now: int) -> None:
         """Bytes arrived that complete no event."""
+        usual = self._counts_from + self._silence
         if progress.announced != self._announced:
             self._announced = progress.announced
             self._first_at, self._bytes_at_first = now, progress.remaining
-            self.at = self._counts_from + self._silence
-        if not progress.remaining:
-            self.at = self._counts_from + self._silence
+            self.at = usual
+        if not progress.remaining or self._first_at > usual:
+            self.at = usual
             return
         limit = self._counts_from + EVENT_LIMIT_FACTOR * self._silence
         if self._expected_end(progress.remaining, now) <= limit:
--- a/stonetrack/wire/sse.py
+++ b/stonetrack/wire/sse.py
@@ -89,6 +89,37 @@
             self._event_name = value.decode("utf-8", "replace")
 
 
+_LINE_START_BYTES = 8  # kept of a line that is not complete: enough to tell a data line and an empty one
+
+
+class EventEnds:
+    """Tells which pieces of a stream complete an event, without decoding it.
+
+    Empty lines, comments and fields other than ``data`` complete none.  Pieces may be split anywhere.
+    """
+
+    __slots__ = ("_has_data", "_line")
+
+    def __init__(self) -> None:
+        self._line = b""  # the start of a line that is not complete
+        self._has_data = False  # whether a data line of the current event is complete
+
+    def feed(self, data: bytes) -> bool:
+        """Return whether an event is complete with this piece."""
+        if not self._line and not self._has_data and data.startswith(b"data:") and data.endswith(b"\n\n"):
+            return True  # the usual piece: whole events
+        completes = False
+        *lines, last = (self._line + data).split(b"\n")
+        for line in lines:
+            if line in (b"", b"\r"):
+                completes = completes or self._has_data
+                self._has_data = False
+            elif line.startswith(b"data:"):
+                self._has_data = True
+        self._line = last[:_LINE_START_BYTES]
+        return completes
+
+
 def encode(data: bytes, name: str = "") -> bytes:
     """Encode one event; data with line ends becomes several data lines."""
     head = f"event: {name}\n".encode() if name else b""
