A call to an engine, controller or store ends in its time though bytes go on

What callers would see: engines that answer a release with 1xx heads without end hold the threads of releases and probes; the states of all requests leak then, and attempts that wait for a release don't begin. The daemon's calls (probes, releases, lists, controllers, stores, audit) went on while bytes came at all. Why this works: sockets.receive_until raises at the deadline whatever is there to read. A poll for the daemon's list has 30 s beyond its wait.

--- a/stonetrack/edge/calls.py
+++ b/stonetrack/edge/calls.py
@@ -9,7 +9,7 @@
 
 from stonetrack.edge.engine_table import Engine
 from stonetrack.engines.pool import Carried, ConnectionPool
-from stonetrack.node.sockets import ResourceExhausted, close, reset
+from stonetrack.node.sockets import ResourceExhausted, close, receive_until, reset
 from stonetrack.wire import http1
 from stonetrack.wire.errors import ProtocolError
 
@@ -36,8 +36,7 @@
     head: http1.ResponseHead | None = None
     body = b""
     while True:
-        sock.settimeout(max(end - time.monotonic(), 0.001))
-        data = sock.recv(16_384)
+        data = receive_until(sock, 16_384, end)
         if not data:
             raise ConnectionError("connection closed without an answer")
         try:
--- a/stonetrack/engines/calls.py
+++ b/stonetrack/engines/calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 from stonetrack import api
 from stonetrack.node import sockets
 from stonetrack.wire import http1
@@ -31,10 +33,12 @@
     timeout: float,
     limits: http1.Limits = _LIMITS,
     connect_timeout: float | None = None,
+    answer_timeout: float | None = None,
 ) -> tuple[http1.ResponseHead, bytes]:
     """Send one request on a new connection; return the answer's head and body.  Raises CallFailed.
 
-    ``timeout`` limits each wait for bytes, ``connect_timeout`` (default: ``timeout``) the time to connect; in seconds.
+    ``timeout`` limits each wait for bytes, ``connect_timeout`` the time to connect and ``answer_timeout`` the time from
+    the request to the end of its answer, however its bytes come; in seconds, the default of both is ``timeout``.
     """
     try:
         sock = sockets.connect(host, port, timeout if connect_timeout is None else connect_timeout)
@@ -47,9 +51,10 @@
     body = bytearray()
     try:
         sock.settimeout(timeout)
+        end = time.monotonic() + (timeout if answer_timeout is None else answer_timeout)
         sock.sendall(request)
         while True:
-            data = sock.recv(65_536)
+            data = sockets.receive_until(sock, 65_536, min(end, time.monotonic() + timeout))
             for event in reader.feed(data) if data else reader.eof():
                 if isinstance(event, http1.ResponseHead):
                     head = event
@@ -60,7 +65,7 @@
             if not data:
                 raise CallFailed(f"{host}:{port}: closed without an answer", api.Outcome.RESET)
     except TimeoutError:
-        raise CallFailed(f"{host}:{port}: no answer in {timeout:g} s", api.Outcome.TIMED_OUT) from None
+        raise CallFailed(f"{host}:{port}: no answer in time ({timeout:g} s)", api.Outcome.TIMED_OUT) from None
     except ProtocolError as error:
         raise CallFailed(f"{host}:{port}: {error}") from None
     except CallFailed:
--- a/stonetrack/engines/list_source.py
+++ b/stonetrack/engines/list_source.py
@@ -27,7 +27,8 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 SAVE_INTERVAL = 60 * SECOND  # between writes of the saved list for a confirmation alone
 CONNECT_TIMEOUT_S = 2.0
-ANSWER_MARGIN_S = 5.0  # beyond the wait of a poll, in which its answer has to arrive
+ANSWER_MARGIN_S = 5.0  # beyond the wait of a poll, in which bytes of its answer have to arrive
+MAX_ANSWER_S = 30.0  # beyond the wait of a poll, in which its whole answer has to arrive
 
 
 def file_signature(path: Path) -> tuple[int, int, int]:
@@ -245,8 +246,15 @@
             "GET", target, [("Host", address), ("X-Stonetrack-Instance", self._instance), ("Connection", "close")]
         )
         limits = http1.Limits(body=64 << 20)
+        wait_s = wait / SECOND
         head, body = exchange(
-            host.strip("[]"), int(port), request, wait / SECOND + ANSWER_MARGIN_S, limits, CONNECT_TIMEOUT_S
+            host.strip("[]"),
+            int(port),
+            request,
+            wait_s + ANSWER_MARGIN_S,
+            limits,
+            CONNECT_TIMEOUT_S,
+            wait_s + MAX_ANSWER_S,
         )
         if self._stopping.is_set():
             return PollResult.UNCHANGED, None
--- a/stonetrack/node/sockets.py
+++ b/stonetrack/node/sockets.py
@@ -131,6 +131,18 @@
     return call_with_retries(SystemCall.RECEIVE, lambda: SYSTEM.receive(sock, size, flags))
 
 
+def receive_until(sock: socket.socket, size: int, deadline: float) -> bytes:
+    """Wait for bytes up to a time of the monotonic clock, in seconds, and receive them; empty at the end.
+
+    Raises TimeoutError at the deadline, also where bytes go on arriving, else OSError.
+    """
+    left = deadline - time.monotonic()
+    if left <= 0:
+        raise TimeoutError("the time of the answer has passed")
+    sock.settimeout(left)
+    return sock.recv(size)
+
+
 def poll(poller: select.poll, milliseconds: float | None) -> list[tuple[int, int]]:
     """Descriptors that are ready and their event masks; a timeout of None waits without limit.  Raises OSError."""
     return call_with_retries(SystemCall.POLL, lambda: SYSTEM.poll(poller, milliseconds))
