A discovery watch that completes no document is begun anew; a slow list still comes

What callers would see: an agent that goes on with the bytes of a size, a document, a trailer or a head holds the node's watch for good; drains are not heard, and attempts go to engines that drain. Why this works: a document or an empty line is progress, and nothing else. Each watch that ends within a document doubles the time for the next one's, up to eight times, so that a long list that comes slowly is received in the end (its own test).

--- a/stonetrack/edge/documents.py
+++ b/stonetrack/edge/documents.py
@@ -25,6 +25,7 @@
         self._line = bytearray()  # not ended yet
         self._object = bytearray()  # lines of an object that is not complete
         self._depth = 0
+        self.completed = 0  # objects, and empty lines between them
 
     def feed(self, data: bytes) -> list[bytes]:
         """Add bytes; returns the objects that end in them, unchanged.  Raises DocumentError."""
@@ -42,6 +43,7 @@
             self._depth += sum(_DEPTH_CHANGE.get(token, 0) for token in _TOKENS.findall(line))
             if self._depth > 0:
                 return b""
+        self.completed += 1
         document, self._depth = bytes(self._object), 0
         self._object.clear()
         return document
--- a/stonetrack/edge/watch.py
+++ b/stonetrack/edge/watch.py
@@ -1,12 +1,13 @@
 """Watches the discovery service on a thread of its own: one chunked answer that carries JSON objects
 (:mod:`.documents`).
 
-A watch that delivers nothing for ``SILENCE_TIMEOUT_S`` seconds, not even an empty line, counts as broken although its
-connection is open.  It is restarted from the revision held, after a pause that doubles up to a bound, with jitter.  The
-protocol expects a change to be propagated 6 s after the local agent received it, whatever calls failed meanwhile, so
-within those 6 s there has to be time for one or two failed calls: at most two empty lines may be missing, and a new
-watch that is not answered at once is abandoned, since a working agent answers at once.  Calls to the agent are cheap
-(it runs on the node's own machine), so the pauses are short.  While discovery is down the held list stays in force.
+A watch that completes nothing for ``SILENCE_TIMEOUT_S`` seconds, neither a document nor an empty line, counts as broken
+although its connection is open and bytes may come.  It is restarted from the revision held, after a pause that doubles
+up to a bound, with jitter.  The protocol expects a change to be propagated 6 s after the local agent received it,
+whatever calls failed meanwhile, so within those 6 s there has to be time for one or two failed calls: at most two empty
+lines may be missing, and a new watch that is not answered at once is abandoned, since a working agent answers at once.
+Calls to the agent are cheap (it runs on the node's own machine), so the pauses are short.  While discovery is down the
+held list stays in force.
 :meth:`DiscoveryWatch.change_address` switches to another address at once and asks it for the changes since the revision
 held.
 """
@@ -17,10 +18,11 @@
 import random
 import socket
 import threading
+import time
 from collections.abc import Callable
 
 from stonetrack.edge.documents import DocumentError, DocumentReader
-from stonetrack.node.sockets import close, connect
+from stonetrack.node.sockets import close, connect, receive_until
 from stonetrack.node.threads import restarting_thread
 from stonetrack.wire import http1, writer
 from stonetrack.wire.errors import ProtocolError
@@ -29,6 +31,7 @@
 SILENCE_TIMEOUT_S = 4.2  # an empty line comes every 2 s
 FIRST_BYTE_TIMEOUT_S = 0.5  # of a new watch; a working agent answers at once
 CONNECT_TIMEOUT_S = 0.5
+MAX_DOCUMENT_TIMEOUT_FACTOR = 8  # times the silence timeout: for a document that comes slowly
 FIRST_PAUSE_S, MAX_PAUSE_S = 0.05, 0.25
 _LIMITS = http1.Limits(head=16_384, headers=64, body=1 << 40)  # a watch's body is as long as its connection lasts
 
@@ -52,6 +55,7 @@
         self._interrupt = threading.Event()
         self._stopping = False
         self._last_error = ""
+        self._document_timeout_factor = 1  # times SILENCE_TIMEOUT_S
         self._random = random.Random()
         self._thread = restarting_thread("watch", self._run, log)
 
@@ -120,10 +124,12 @@
             close(sock)
 
     def _read(self, sock: socket.socket) -> None:
+        """Read documents until the watch ends.  Raises OSError, ProtocolError, DocumentError."""
         reader = http1.MessageReader(http1.Side.RESPONSES, _LIMITS)
-        documents, first = DocumentReader(), True
-        while data := sock.recv(65_536):
-            sock.settimeout(SILENCE_TIMEOUT_S)
+        documents, first, completed = DocumentReader(), True, 0
+        received_at = completed_at = time.monotonic()
+        deadline = received_at + FIRST_BYTE_TIMEOUT_S
+        while data := self._receive(sock, deadline, received_at > completed_at):
             for event in reader.feed(data):
                 if isinstance(event, http1.ResponseHead) and event.status != 200:
                     raise ConnectionError(f"the agent answered {event.status}")
@@ -134,4 +140,24 @@
                 for document in documents.feed(event.data):
                     self._on_document(document, first)
                     first, self._last_error = False, ""
+            received_at = time.monotonic()
+            if documents.completed != completed:
+                completed_at, completed = received_at, documents.completed
+                self._document_timeout_factor = 1
+            document_deadline = completed_at + SILENCE_TIMEOUT_S * self._document_timeout_factor
+            deadline = min(received_at + SILENCE_TIMEOUT_S, document_deadline)
         raise ConnectionError("the agent closed the watch")
+
+    def _receive(self, sock: socket.socket, deadline: float, incomplete: bool) -> bytes:
+        """Receive up to a time of the monotonic clock.  Raises ConnectionError at that time, else OSError.
+
+        A watch that ends within a document doubles the time that the next ones give it, up to a bound: a long list that
+        comes slowly is received in the end.
+        """
+        try:
+            return receive_until(sock, 65_536, deadline)
+        except TimeoutError:
+            if not incomplete:
+                raise ConnectionError("nothing was received in time") from None
+            self._document_timeout_factor = min(2 * self._document_timeout_factor, MAX_DOCUMENT_TIMEOUT_FACTOR)
+            raise ConnectionError("bytes were received and no document was complete in time") from None
--- a/tests/test_unfinished_answers.py
+++ b/tests/test_unfinished_answers.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from stonetrack.edge import watch
 from stonetrack.edge.calls import send_and_receive
 from stonetrack.engines.calls import CallFailed, exchange
 from stonetrack.wire import writer
@@ -59,6 +60,80 @@
         sock.sendall(piece)
 
 
+# A watch whose agent went on without completing a document was followed for ever, and changes were missed (issue 67).
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (WATCH_HEAD + FIRST_DOCUMENT, b"0"),
+        (WATCH_HEAD + FIRST_DOCUMENT + b"c0000000\r\n", b" "),
+        (WATCH_HEAD + FIRST_DOCUMENT + b"c0000000\r\n{\n", b"1,\n"),
+        (WATCH_HEAD + FIRST_DOCUMENT, writer.chunk(b'{"rev":2,')),
+        (WATCH_HEAD + FIRST_DOCUMENT + b"0\r\n", b"X-A: b\r\n"),
+        (b"HTTP/1.1 200 OK\r\nX-A: ", b"b"),
+        (b"", INTERIM),
+    ],
+    ids=["size", "gigabytes of blanks", "lines of a document", "document", "trailers", "head", "interim heads"],
+)
+def test_a_watch_that_completes_nothing_is_replaced_by_a_new_one(
+    start: bytes, piece: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    for name in ("SILENCE_TIMEOUT_S", "FIRST_BYTE_TIMEOUT_S", "CONNECT_TIMEOUT_S", "FIRST_PAUSE_S", "MAX_PAUSE_S"):
+        monkeypatch.setattr(watch, name, getattr(watch, name) / SCALE)
+    documents: list[bytes] = []
+    started: list[float] = []
+
+    def serve(sock: socket.socket, number: int) -> None:
+        started.append(time.monotonic())
+        if number:
+            sock.sendall(WATCH_HEAD + writer.chunk(b'{"rev":9}\n'))
+            time.sleep(GIVE_UP_S)
+        else:
+            go_on(sock, start, piece, 0.005 if len(piece) < 5 else 0.02)
+
+    with server(serve) as address:
+        follower = watch.DiscoveryWatch(
+            address, lambda: 1, lambda data, first: documents.append(data), lambda text: None
+        )
+        follower.start()
+        try:
+            until = time.monotonic() + GIVE_UP_S
+            while b'{"rev":9}' not in documents and time.monotonic() < until:
+                time.sleep(0.005)
+            assert b'{"rev":9}' in documents, "the first watch is followed still"
+            assert started[1] - started[0] < CHANGE_KNOWN_S
+        finally:
+            follower.stop()
+
+
+# The other side of the above: a list that takes long would never come if its watch were always begun anew.
+def test_a_long_list_that_comes_slowly_is_received_in_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("SILENCE_TIMEOUT_S", "FIRST_BYTE_TIMEOUT_S", "CONNECT_TIMEOUT_S", "FIRST_PAUSE_S", "MAX_PAUSE_S"):
+        monkeypatch.setattr(watch, name, getattr(watch, name) / SCALE)
+    documents: list[bytes] = []
+    document = b'{"rev":1,"targets":[' + b" " * 100 + b"]}"
+
+    def serve(sock: socket.socket, number: int) -> None:
+        sock.sendall(WATCH_HEAD)
+        for n in range(len(document)):
+            time.sleep(0.01)
+            sock.sendall(writer.chunk(document[n : n + 1]))
+        sock.sendall(writer.chunk(b"\n"))
+        time.sleep(GIVE_UP_S)
+
+    with server(serve) as address:
+        follower = watch.DiscoveryWatch(
+            address, lambda: 1, lambda data, first: documents.append(data), lambda text: None
+        )
+        follower.start()
+        try:
+            until = time.monotonic() + 3 * GIVE_UP_S
+            while not documents and time.monotonic() < until:
+                time.sleep(0.005)
+            assert documents[:1] == [document]
+        finally:
+            follower.stop()
+
+
 ENDLESS_ANSWERS = [
     (b"", INTERIM, 0.0),
     (b"", INTERIM, 0.02),
