Soak: engines and agents that complete nothing, and a check of the wait behind them

Change: six engine faults (a size, an event, a trailer that never ends, gigabytes, slow writes, slow reads), a watch that completes nothing, and the check: at most 5 s from a client's last event to the end of its connection where the stream is not whole. Negative control: a node with a limit of 20 s is named.

--- a/stonetrack/fleet/load.py
+++ b/stonetrack/fleet/load.py
@@ -82,6 +82,7 @@
     instance: str = ""
     head: int = 0
     first: int = 0
+    last_event: int = 0  # when its last event came
     end: int = 0
     ended: str = ""  # served, refused, failed, broken, rejected, left, cut, refused connection, no answer, garbled
     done_events: int = 0
@@ -336,6 +337,7 @@
     def _event(self, seen: Seen, data: bytes, now: int) -> None:
         if seen.done_events or seen.error_events:
             seen.after_end += len(data)
+        seen.last_event = now
         if data == b"[DONE]":
             seen.done_events += 1
             return
--- a/stonetrack/soak/faults.py
+++ b/stonetrack/soak/faults.py
@@ -31,6 +31,7 @@
     DRAIN = "an engine drains and comes back"
     DISCOVERY_SILENT = "a node's agent is silent"
     WATCH_SILENT = "a node's watch falls silent on its connection"
+    WATCH_UNFINISHED = "a node's watch goes on with bytes that complete nothing"
     TERM = "a node is told to end, killed where it does not, and started again"
     KILL_NODE = "a node is killed and started again"
     HUP = "a node is told to read its configuration, three times in a row, once a broken one"
@@ -44,6 +45,7 @@
     FaultKind.RESETS: 2, FaultKind.KILL_ENGINE: 2, FaultKind.TROUBLE: 6, FaultKind.DRAIN: 1,
     FaultKind.DISCOVERY_SILENT: 1, FaultKind.WATCH_SILENT: 1, FaultKind.TERM: 2, FaultKind.KILL_NODE: 1,
     FaultKind.HUP: 1, FaultKind.STOP_NODE: 1, FaultKind.CROWD: 2, FaultKind.KEPT_SILENT_FOR_GOOD: 1,
+    FaultKind.WATCH_UNFINISHED: 1,
 }  # fmt: skip
 MIN_SECONDS, MAX_SECONDS = 0.4, 5.0  # duration of a fault
 SILENT_ROLE_SHARE = 0.75  # share of a role's engines that ROLE_SILENT affects
@@ -109,6 +111,7 @@
         case (
             FaultKind.DISCOVERY_SILENT
             | FaultKind.WATCH_SILENT
+            | FaultKind.WATCH_UNFINISHED
             | FaultKind.TERM
             | FaultKind.KILL_NODE
             | FaultKind.HUP
--- a/stonetrack/soak/oracle.py
+++ b/stonetrack/soak/oracle.py
@@ -30,6 +30,7 @@
 WATCH_SILENCE_TIMEOUT = 6 * SECOND  # a change counts as propagated to a silent watch after this
 EVENT_SLACK = 300 * MS
 MAX_LATE_STREAM_SHARE = 0.1  # tolerated share of streams with a late event
+UNFINISHED_STREAM_WAIT = 5 * SECOND  # from the last event of a stream that is not whole to the end of its connection
 OVERLAP_SLACK = 2 * MS  # engine and link take their timestamps one after the other
 RESERVATION_PATH = "/kv/leases/"
 LATE_RESERVATION = 400 * MS  # after the attempt began: the node no longer waits for this reservation
@@ -208,7 +209,16 @@
         bound = client.deadline + ANSWER_SLACK + self._lateness(client.sent, answered) + self._client_lateness(client)
         if answered > bound and client.behaviour != "slow":
             return f"answered ({client.ended}) {(answered - client.deadline) / SECOND:.3f} s after its time"
-        return ""
+        return self._unfinished_stream_problem(client)
+
+    def _unfinished_stream_problem(self, client: Seen) -> str:
+        """A client that was left waiting on a stream that did not become whole."""
+        if not client.last_event or client.ended == "served" or client.behaviour != "normal":
+            return ""
+        waited = client.end - client.last_event
+        if waited <= UNFINISHED_STREAM_WAIT + self._lateness(client.last_event, client.end):
+            return ""
+        return f"left waiting for {waited / SECOND:.3f} s after the last event ({client.ended})"
 
     # Invariant 2: no second effect.
 
--- a/stonetrack/soak/platform.py
+++ b/stonetrack/soak/platform.py
@@ -33,6 +33,10 @@
 LATE_REJECTION_DELAY = 0.6  # seconds; longer than the node's bound for releases
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, 0 s
 BACKLOG = 256
+UNFINISHED_PAUSE = 0.06  # seconds between pieces of what is never completed
+UNFINISHED_SECONDS = 30.0  # after which an engine that completes nothing stops
+SLOW_WRITE_PAUSE = 0.002  # seconds after each byte that an engine with SLOW_WRITES writes
+SLOW_READ_BYTES, SLOW_READ_PAUSE = 64, 0.02  # of each read with SLOW_READS; seconds before it
 
 
 class EngineFault(Enum):
@@ -49,11 +53,26 @@
     RESETS = "resets before its answer"
     CORRUPT_STREAM = "spoils its streams"
     ENDLESS_STREAM = "streams never end"
+    UNFINISHED_SIZE = "goes on with a chunk's size that never ends"
+    GIGABYTES = "says that a chunk has gigabytes, and goes on with events"
+    UNFINISHED_EVENT = "goes on with chunks that complete no event"
+    UNFINISHED_TRAILER = "goes on with a trailer that never ends"
+    SLOW_WRITES = "writes its streams byte by byte"
+    SLOW_READS = "reads requests slowly"
     SECOND_ANSWER = "sends a second answer behind the first"
     INTERIM_RESPONSE = "sends 1xx ahead"
     RESETS_IDLE = "resets idle connections"
 
 
+UNFINISHED = {
+    EngineFault.UNFINISHED_SIZE: (b"0", b"0"),
+    EngineFault.GIGABYTES: (b"c0000000\r\n", b'data: {"choices":[]}\n\n'),
+    EngineFault.UNFINISHED_EVENT: (b"", writer.chunk(b"x")),
+    EngineFault.UNFINISHED_TRAILER: (b"0\r\nX-A: ", b"b"),
+}
+"""What an engine with one of these faults sends after its second event, once, and again and again."""
+
+
 class EngineCall(NamedTuple):
     """A call that an engine received; ``at`` is in seconds of the monotonic clock."""
 
@@ -139,6 +158,14 @@
     return bool(poller.poll(seconds * 1_000.0))
 
 
+def go_on(sock: socket.socket, start: bytes, piece: bytes) -> None:
+    """Send ``start``, then ``piece`` again and again.  Raises OSError once the node has closed the connection."""
+    until = time.monotonic() + UNFINISHED_SECONDS
+    sock.sendall(start)
+    while time.monotonic() < until and not wait_for_close(sock, UNFINISHED_PAUSE):
+        sock.sendall(piece)
+
+
 class Engine(ThreadedServer):
     """An emulated engine; ``role`` is prefill or decode."""
 
@@ -169,6 +196,9 @@
         if self.fault is EngineFault.RESETS_IDLE and not select.select([sock], [], [], 0.3)[0]:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
             return b""
+        if self.fault is EngineFault.SLOW_READS:
+            time.sleep(SLOW_READ_PAUSE)
+            return sock.recv(SLOW_READ_BYTES)
         return sock.recv(65_536)
 
     def request(self, sock: socket.socket, head: http1.RequestHead, body: bytes) -> None:
@@ -339,7 +369,10 @@
         number = 0
         while number < platform.event_count or self.fault is EngineFault.ENDLESS_STREAM:
             event = {"choices": [{"index": 0, "delta": {"content": str(number)}}], "written_ns": time.monotonic_ns()}
-            sock.sendall(writer.chunk(b"data: " + json.dumps(event).encode() + b"\n\n"))
+            self._write(sock, writer.chunk(b"data: " + json.dumps(event).encode() + b"\n\n"))
+            if number == 1 and fault in UNFINISHED:
+                go_on(sock, *UNFINISHED[fault])
+                return
             if number == 1 and (scripted == "spoilt" or fault is EngineFault.CORRUPT_STREAM):
                 sock.sendall(b"zz\r\nnoise")
                 wait_for_close(sock, 30.0)
@@ -353,6 +386,15 @@
         if scripted == "behind" or fault is EngineFault.SECOND_ANSWER:
             sock.sendall(writer.response(200, [], b"again"))
 
+    def _write(self, sock: socket.socket, data: bytes) -> None:
+        """Write part of a stream, as fast as the engine's fault allows."""
+        if self.fault is not EngineFault.SLOW_WRITES:
+            sock.sendall(data)
+            return
+        for n in range(len(data)):
+            sock.sendall(data[n : n + 1])
+            time.sleep(SLOW_WRITE_PAUSE)
+
 
 class Discovery(ThreadedServer):
     """A node's discovery agent; it sends each change to all watches at once unless it is ``silent``."""
@@ -362,6 +404,8 @@
         self.changed = platform.changed
         self.request_targets: list[str] = []
         self.silent = False
+        self.unfinished = False  # its watches go on with bytes that complete nothing
+        self.unfinished_watches = 0
         self.deliveries: list[tuple[int, int]] = []  # time and version of each list written
         super().__init__()
 
@@ -374,6 +418,9 @@
         sock.sendall(writer.chunked_head(200, [("Content-Type", "application/json")]))
         rev = -1
         while True:
+            if self.unfinished:
+                self._go_on(sock)
+                return
             with self.changed:
                 if self.silent or (self.platform.rev == rev and not self.changed.wait(0.5)):
                     silent = self.silent
@@ -390,6 +437,13 @@
             else:
                 sock.sendall(writer.chunk(b"\n"))
 
+    def _go_on(self, sock: socket.socket) -> None:
+        self.unfinished_watches += 1
+        try:
+            go_on(sock, b"c0000000\r\n{", b" ")
+        finally:
+            self.unfinished_watches -= 1
+
 
 class Platform:
     """Emulated engines and discovery agents, and the records of the calls that they received."""
--- a/stonetrack/soak/run.py
+++ b/stonetrack/soak/run.py
@@ -37,6 +37,7 @@
 MONITOR_INTERVAL = 0.01  # seconds
 RELEASE_WITHIN = 500 * MS
 SUSPEND_SECONDS = 0.15  # duration of one SIGSTOP
+MAX_UNFINISHED_WATCH = 6.0  # seconds in which a node has to leave a watch that completes nothing
 REFILL_INTERVAL = 0.05  # seconds between two calls of IdleConnections.refill()
 LONGEST_DEADLINE = 5.0  # seconds; the maximum of the classes below
 KILL_TIMEOUT = min(LONGEST_DEADLINE, 3.0) + 0.7  # seconds from SIGTERM to SIGKILL: the page's minimum
@@ -384,6 +385,19 @@
         self.links.speak_again(link)
         self._watch_faults[fault.node].append((since, time.monotonic_ns()))
 
+    def leave_watch_unfinished(self, fault: Fault) -> None:
+        """Let a node's watches go on with bytes that complete nothing; each stays so until the node closes it."""
+        agent, since = self.platform.agents[fault.node], time.monotonic_ns()
+        agent.unfinished = True
+        with self.platform.changed:
+            self.platform.changed.notify_all()
+        time.sleep(fault.seconds)
+        agent.unfinished = False
+        until = time.monotonic() + MAX_UNFINISHED_WATCH
+        while agent.unfinished_watches and time.monotonic() < until:
+            time.sleep(0.02)
+        self._watch_faults[fault.node].append((since, time.monotonic_ns()))
+
     def terminate(self, fault: Fault) -> None:
         """Terminate a node by SIGTERM and restart it."""
         node = self.nodes[fault.node]
@@ -513,6 +527,7 @@
     FaultKind.DRAIN: SeedRun.drain,
     FaultKind.DISCOVERY_SILENT: SeedRun.silence_agent,
     FaultKind.WATCH_SILENT: SeedRun.silence_watch,
+    FaultKind.WATCH_UNFINISHED: SeedRun.leave_watch_unfinished,
     FaultKind.TERM: SeedRun.terminate,
     FaultKind.KILL_NODE: SeedRun.kill_node,
     FaultKind.HUP: SeedRun.reload,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,6 +132,7 @@
 HANGS = Fault(0.5, 8.0, FaultKind.TROUBLE, DECODE, engine_fault=EngineFault.HANG_BEFORE)
 STILL = Fault(0.8, 2.0, FaultKind.ROLE_SILENT, PREFILL[:1])
 SLOW = Fault(0.1, 4.0, FaultKind.TROUBLE, PREFILL, engine_fault=EngineFault.SLOW)
+UNFINISHED = Fault(0.5, 2.0, FaultKind.TROUBLE, DECODE, engine_fault=EngineFault.UNFINISHED_SIZE)
 BROKEN = [
     Broken(3, "logic.py", (
         ("        if not self._must_release(request):\n            return\n", "        return\n"),), (SILENT,)),
@@ -150,6 +151,7 @@
          "time_left = request.body.deadline - self._clock() + 2_000_000_000\n"),)),
     Broken(1, "edge/sink.py", (("case ports.Failed(why):\n", "case ports.Failed(why) if why == 0:\n"),), (HANGS,),
            node_reports=False),
+    Broken(1, "edge/serve.py", (("4 * SECOND + 650_000_000", "20 * SECOND"),), (UNFINISHED,), node_reports=False),
     Broken(8, "edge/sink.py", (
         ("        self.connection.write(data)\n",
          "        __import__('time').sleep(0.4)\n        self.connection.write(data)\n"),), node_reports=False),
@@ -192,6 +194,26 @@
     assert result.passed, timeline_of(result, tmp_path / "play")
 
 
+# Clients were left waiting on streams whose engines went on and completed nothing (issue 67).
+@pytest.mark.parametrize(
+    "engine_fault",
+    [
+        EngineFault.UNFINISHED_SIZE,
+        EngineFault.GIGABYTES,
+        EngineFault.UNFINISHED_EVENT,
+        EngineFault.UNFINISHED_TRAILER,
+        EngineFault.SLOW_WRITES,
+        EngineFault.SLOW_READS,
+    ],
+)
+def test_engines_that_complete_nothing_or_are_slow_break_no_invariant(
+    engine_fault: EngineFault, tmp_path: Path
+) -> None:
+    faults = [Fault(0.5, 2.0, FaultKind.TROUBLE, (*PREFILL[:1], *DECODE[:2]), engine_fault=engine_fault)]
+    result = run_with_retries(lambda: SeedRun(3, SHORT, tmp_path / "play", faults, client_settings=USUAL))
+    assert result.passed, timeline_of(result, tmp_path / "play")
+
+
 def test_faults_are_drawn_from_the_seed_and_overlap() -> None:
     prefill, decode = ["r0", "r1", "r2"], ["w0", "w1", "w2", "w3"]
     faults = draw_faults(5, 20.0, 10, prefill, decode)
