The daemon's stream goes on while the bytes of an event come at a pace that completes it

Cause: protocol.Exchange told the request of whole events alone. Change: it tells where the stream stands, as the edge's does; node/stream_deadline.py bounds it. Evidence: the new test failed before for bytes 15 ms apart and passes now; 200 ms apart the stream is cut in both. Test files of engines and frontends pass.

--- a/stonetrack/engines/protocol.py
+++ b/stonetrack/engines/protocol.py
@@ -28,7 +28,14 @@
 
 from stonetrack.api import Outcome, Role
 from stonetrack.engines import load
-from stonetrack.node.ports import AnswerStarted, AttemptEvent, AttemptResult, Choices, InferenceRequest
+from stonetrack.node.ports import (
+    AnswerStarted,
+    AttemptEvent,
+    AttemptResult,
+    Choices,
+    InferenceRequest,
+    StreamProgress,
+)
 from stonetrack.wire import http1, json_limits, sse, writer
 from stonetrack.wire.errors import ProtocolError
 
@@ -135,6 +142,8 @@
         try:
             for event in self._reader.feed(data):
                 self._handle(event, events)
+            if self.started and not events and not self._ended:
+                events.append(StreamProgress(self._reader.announced_bytes, self._reader.remaining_bytes))
         except ProtocolError as error:
             self._set_outcome(Outcome.ERROR, events, why=f"the engine's answer can't be read: {error}")
         return events
--- a/tests/test_engines.py
+++ b/tests/test_engines.py
@@ -27,6 +27,7 @@
 from stonetrack.engines.reuse_delay import MIN_DELAY_S, ReuseDelay
 from stonetrack.engines.server_list import ListError, ServerListState
 from stonetrack.node.ports import AnswerPart, AnswerStarted, AttemptEvent, AttemptResult, InferenceRequest
+from stonetrack.node.request_lifecycle import RequestLifecycle
 from stonetrack.node.sockets import readable
 from stonetrack.settings.schema import Kind, Source
 from stonetrack.wire import http1, sse, writer
@@ -110,6 +111,23 @@
         assert end.outcome is (Outcome.SERVED if at >= done else Outcome.RESET), at
 
 
+# A stream of the daemon whose engine wrote an event slowly was cut off while its bytes came (issue 67, picture a).
+@pytest.mark.parametrize(("pause_ms", "cut"), [(15, False), (200, True)])
+def test_a_stream_goes_on_while_the_bytes_of_an_event_come_at_a_pace_that_completes_it(
+    pause_ms: int, cut: bool
+) -> None:
+    exchange, lifecycle = protocol.Exchange(DECODE, LIMITS), RequestLifecycle(REQUEST, 1_000 * MS)
+    lifecycle.handle_action(api.Send(REQUEST.request_id, "w0", 1_000 * MS), 0)
+    slow = writer.chunk(sse.encode(CHUNK))
+    now, was_cut = 0, False
+    for piece in (stream_response(CHUNK, end=False), *(slow[n : n + 1] for n in range(len(slow)))):
+        for event in exchange.feed(piece):
+            lifecycle.handle_attempt_event(event, now)
+        now += pause_ms * MS
+        was_cut = was_cut or now >= lifecycle.next_deadline()
+    assert len(slow) * pause_ms > 1_000 and was_cut is cut
+
+
 def test_requests_to_prefill_and_decode_engines() -> None:
     def sent(role: Role, state: dict[str, Any] | None) -> tuple[http1.Headers, dict[str, Any]]:
         data = protocol.chat_request(REQUEST, role, "h:1", 3, "i0", state, True, True)
