Tests: a crowd's final answers come in time where engines read large requests slowly

Need: the second clause of picture a (a final answer seconds after its time) had a test with one client of one class. Change: 40 clients with 250 KB each on a node process of 64 MB, engines that read 2 KB each 50 ms behind receive buffers of 4 KB, for each class of effect.

--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import threading
 import time
+from pathlib import Path
+from typing import Any
 
 import pytest
 
+from stonetrack.soak import platform as emulated
 from stonetrack.soak.engine_side import Arrival, End
 from stonetrack.soak.platform import Engine
 from stonetrack.wire import http1, writer
 from tests.harness import Client
-from tests.platform import CHAT, headers, node, platform
+from tests.platform import CHAT, Platform, headers, node, platform, program
 
 TIME_LEFT_S, ANSWER_SLACK_S = 1.5, 0.5
+CROWD = 40  # clients, each with a large request
 LARGE_BODY = b"a" * 250_000
 STREAM_HEAD = writer.chunked_head(200, [("Content-Type", "text/event-stream")])
 END_OF_STREAM = writer.chunk(b"data: [DONE]\n\n") + writer.LAST_CHUNK
@@ -129,3 +134,45 @@
         took = time.monotonic() - started
         stop.set()
         assert status in (502, 503) and took <= TIME_LEFT_S + ANSWER_SLACK_S
+
+
+# A final answer came seconds after the client's time where engines read large requests slowly (issue 67, picture a).
+@pytest.mark.parametrize("semantics", ["pure", "token", "side_effect"])
+def test_a_crowd_gets_its_final_answers_in_time_where_engines_read_large_requests_slowly(
+    semantics: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    real_listen, real_config = emulated.listen, Platform.config
+
+    def listen_with_a_small_buffer(port: int = 0, backlog: int = emulated.BACKLOG) -> socket.socket:
+        listener = real_listen(port, backlog)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        return listener
+
+    def config(world: Platform, **limits: Any) -> bytes:
+        raw = json.loads(real_config(world, **limits))
+        raw["settings"]["request_classes"][0]["semantics"] = semantics
+        return json.dumps(raw).encode()
+
+    def receive_slowly(engine: Engine, sock: socket.socket) -> bytes:
+        time.sleep(0.05)
+        return sock.recv(2_000)
+
+    monkeypatch.setattr(emulated, "listen", listen_with_a_small_buffer)
+    monkeypatch.setattr(Platform, "config", config)
+    monkeypatch.setattr(Engine, "receive", receive_slowly)
+    answers: list[tuple[int, float]] = []
+
+    def ask(number: int) -> None:
+        client = Client(world.listen, 20.0)
+        client.send(post(f"q{number}", LARGE_BODY, X_Time_Left=f"{TIME_LEFT_S * 1000:.0f}m"))
+        sent = time.monotonic()
+        answers.append((client.answer()[0].status, time.monotonic() - sent))
+
+    with platform(2, 2) as world, program(world, tmp_path, memory_mb=64):
+        threads = [threading.Thread(target=ask, args=(number,)) for number in range(CROWD)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+    assert len(answers) == CROWD and {status for status, _ in answers} <= {502, 503}
+    assert max(took for _, took in answers) <= TIME_LEFT_S + ANSWER_SLACK_S
