--- a/stonetrack/edge/serve.py
+++ b/stonetrack/edge/serve.py
@@ -52,9 +52,9 @@
 
 SECOND = 1_000_000_000
 STACK_BYTES = 256 * 1024
-# A client may be left waiting for 5 s after an engine's last event (protocol).  The rest is for a node that is held up
-# for 0.15 s and for giving the attempt up, which takes up to 0.1 s.
-STREAM_SILENCE_NS = 4 * SECOND + 650_000_000
+# A client may be left waiting for 5 s after an engine's last event (protocol); what is left of them is for the grace of
+# bytes, for a node that is late, and for giving the attempt up.
+STREAM_SILENCE_NS = 4 * SECOND + SECOND // 2
 CLIENT_STALL_NS = 10 * SECOND  # a client that reads nothing for longer counts as gone
 ACCEPTING_S = 0.55  # clients still connect for 0.2 to 0.4 s after TERM (protocol); what comes after 0.7 s may be lost
 MAX_COUNTED_DEADLINE_S = 3.0  # the part of the longest deadline that counts towards the time from TERM to KILL
--- a/stonetrack/node/stream_deadline.py
+++ b/stonetrack/node/stream_deadline.py
@@ -1,14 +1,15 @@
 """Decides until when a stream that has started may complete its next event.  No I/O; times in nanoseconds.
 
-An event that is complete is progress.  Bytes that complete none are progress only for a bounded time: while they belong
-to a chunk whose announced size, at the pace of its bytes so far, has arrived by the event limit.  Bytes of a chunk's
-size, of comments, or of ever new chunks without an event's end extend nothing.
+An event that is complete is progress.  Bytes that complete none are progress only for a bounded time: any byte for a
+short grace, and those of a chunk whose announced size, at the pace of its bytes so far, has arrived by the event limit.
+Bytes of a chunk's size, of comments, or of ever new chunks without an event's end extend nothing beyond the grace.
 """
 
 from __future__ import annotations
 
 from stonetrack.node.ports import StreamProgress
 
+BYTES_GRACE_NS = 150_000_000  # beyond the silence limit, for a stream with bytes since its last event
 EVENT_LIMIT_FACTOR = 2  # event limit, in silence limits
 MAX_BYTE_PAUSE_DIVISOR = 2  # of the silence limit: the longest pause between bytes of an event that is late
 
@@ -39,7 +40,7 @@
 
     def bytes_received(self, progress: StreamProgress, now: int) -> None:
         """Bytes arrived that complete no event."""
-        usual = self._counts_from + self._silence
+        usual = self._counts_from + self._silence + BYTES_GRACE_NS
         if progress.announced != self._announced:
             self._announced = progress.announced
             self._first_at, self._bytes_at_first = now, progress.remaining
